--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/pipeline/CrashLedger.java
@@ -0,0 +1,111 @@
+package org.clementinesail.core.pipeline;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Remembers which requests were running where a target crashed, and which of them are to blame.
+ *
+ * <p>A request is blamed when two targets crashed while they ran it at the same position. A request
+ * that was only beside another one gets past that position on its next target and is cleared.
+ * Requests are known by a digest of workspace, model and prompt, so that a resend under a new id is
+ * recognised. The class is not thread-safe.
+ */
+public final class CrashLedger {
+  /** How many targets a request may crash before it is stopped. */
+  public static final int MAX_CRASHES = 2;
+
+  /** How long a crash is remembered, in nanoseconds. */
+  public static final long RETENTION_NANOS = 3_600_000_000_000L;
+
+  /**
+   * A crash that a request was present at.
+   *
+   * @param digest digest of the request
+   * @param position position that the request was at
+   * @param target name and incarnation of the target
+   */
+  public record Mark(String digest, int position, String target) {}
+
+  private record Place(String digest, int position) {}
+
+  private static final class Entry {
+    final Set<String> targets = new HashSet<>();
+    long forgetAt;
+  }
+
+  private final Map<Place, Entry> entries = new HashMap<>();
+
+  /**
+   * Notes that a target crashed while it ran a request.
+   *
+   * @param mark the crash
+   * @param now present time
+   * @return whether this is news
+   */
+  public boolean crashed(Mark mark, long now) {
+    Entry entry =
+        entries.computeIfAbsent(new Place(mark.digest(), mark.position()), key -> new Entry());
+    entry.forgetAt = now + RETENTION_NANOS;
+    return entry.targets.add(mark.target());
+  }
+
+  /**
+   * Notes that a request got past a position, so that a crash there was not its fault.
+   *
+   * @param digest digest of the request
+   * @param position the position
+   */
+  public void passed(String digest, int position) {
+    Place place = new Place(digest, position);
+    Entry entry = entries.get(place);
+    if (entry != null && entry.targets.size() < MAX_CRASHES) {
+      entries.remove(place);
+    }
+  }
+
+  /**
+   * Returns whether a request has crashed as many targets as it may.
+   *
+   * @param digest digest of the request
+   */
+  public boolean blamed(String digest) {
+    return worst(digest) >= MAX_CRASHES;
+  }
+
+  /**
+   * Returns whether a request was present at a crash and is not cleared yet.
+   *
+   * @param digest digest of the request
+   */
+  public boolean inDoubt(String digest) {
+    return worst(digest) > 0;
+  }
+
+  /**
+   * Forgets crashes that are past their retention.
+   *
+   * @param now present time
+   */
+  public void expire(long now) {
+    Iterator<Entry> it = entries.values().iterator();
+    while (it.hasNext()) {
+      if (now - it.next().forgetAt > 0) {
+        it.remove();
+      }
+    }
+  }
+
+  private int worst(String digest) {
+    int worst = 0;
+    for (Map.Entry<Place, Entry> entry : entries.entrySet()) {
+      if (entry.getKey().digest().equals(digest)) {
+        worst = Math.max(worst, entry.getValue().targets.size());
+      }
+    }
+    return worst;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/replication/LogEntry.java
@@ -0,0 +1,32 @@
+package org.clementinesail.core.replication;
+
+/**
+ * One entry of the replicated log.
+ *
+ * @param index position in the log, from 1
+ * @param term term of the leader that appended it
+ * @param payload what the entry carries
+ */
+public record LogEntry(long index, long term, Payload payload) {
+
+  /** What an entry carries. */
+  public sealed interface Payload {}
+
+  /** Marks the start of a leader's term. */
+  public record NoOp() implements Payload {}
+
+  /**
+   * Changes the replicas; in force at each replica as soon as it is appended.
+   *
+   * @param config the configuration from this entry on
+   */
+  public record Reconfigure(ReplicaConfig config) implements Payload {}
+
+  /**
+   * A command for the state machine.
+   *
+   * @param bytes the encoded command; not copied, not to be changed
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Command(byte[] bytes) implements Payload {}
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/replication/Timing.java
@@ -0,0 +1,18 @@
+package org.clementinesail.core.replication;
+
+/**
+ * Time settings of a replica, all in nanoseconds.
+ *
+ * @param heartbeat time between heartbeats of a leader
+ * @param electionMin shortest time without a leader before an election; also the longest a leader
+ *     keeps its role without hearing a majority
+ * @param electionMax longest such time
+ * @param maxDriftPerMille bound on the difference of two VMs' monotonic clocks, in thousandths
+ */
+public record Timing(long heartbeat, long electionMin, long electionMax, int maxDriftPerMille) {
+
+  /** Returns how long a majority's acknowledgement supports a lease, counted from its sending. */
+  public long leaseNanos() {
+    return electionMin - electionMin / 1000 * maxDriftPerMille;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/replication/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * The replicated log: elections, replication by majority, learners and reads, as pure decisions.
+ *
+ * <p>{@link org.clementinesail.core.replication.ReplicaCore} takes inputs and the time and returns
+ * outputs; the server writes, syncs and sends. The algorithm is Raft with pre-vote, check-quorum
+ * and confirmed reads (Ongaro, "Consensus: Bridging Theory and Practice", 2014).
+ */
+package org.clementinesail.core.replication;
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/routing/ModelPool.java
@@ -0,0 +1,107 @@
+package org.clementinesail.core.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.clementinesail.core.targets.LayerRange;
+import org.clementinesail.core.targets.TargetDescription;
+import org.clementinesail.core.targets.TargetFact;
+
+/**
+ * The engines of one model, grouped by the layers they hold.
+ *
+ * <p>Grouping is done once for each change of the targets, so that a choice looks at few groups
+ * instead of every engine.
+ */
+public final class ModelPool {
+
+  /**
+   * Engines that can run the same layers.
+   *
+   * @param layers the layers
+   * @param targets the engines, never empty
+   */
+  record Group(LayerRange layers, List<TargetFact> targets) {}
+
+  private final int modelLayers;
+  private final List<Integer> boundaries;
+  private final Map<Integer, List<Group>> groupsByStart = new TreeMap<>();
+  private final List<TargetFact> targets;
+
+  /**
+   * Groups the engines of a model.
+   *
+   * @param engines engines that may take new work; all of the same model
+   */
+  public ModelPool(Collection<TargetFact> engines) {
+    this.targets = List.copyOf(engines);
+    this.modelLayers = engines.stream().mapToInt(t -> engine(t).modelLayers()).max().orElse(0);
+    TreeSet<Integer> cuts = new TreeSet<>();
+    for (TargetFact target : engines) {
+      cuts.add(engine(target).layers().from());
+      cuts.add(engine(target).layers().to());
+    }
+    this.boundaries = List.copyOf(cuts);
+    Map<LayerRange, List<TargetFact>> byRange = new TreeMap<>(ModelPool::compare);
+    for (TargetFact target : engines) {
+      for (LayerRange range : usableRanges(engine(target))) {
+        byRange.computeIfAbsent(range, key -> new ArrayList<>()).add(target);
+      }
+    }
+    byRange.forEach(
+        (range, members) ->
+            groupsByStart
+                .computeIfAbsent(range.from(), key -> new ArrayList<>())
+                .add(new Group(range, List.copyOf(members))));
+  }
+
+  /** Returns the number of layers of the whole model. */
+  public int modelLayers() {
+    return modelLayers;
+  }
+
+  /** Returns the engines. */
+  public List<TargetFact> targets() {
+    return targets;
+  }
+
+  List<Integer> boundaries() {
+    return boundaries;
+  }
+
+  List<Group> groupsFrom(int layer) {
+    return groupsByStart.getOrDefault(layer, List.of());
+  }
+
+  private List<LayerRange> usableRanges(TargetDescription.Engine engine) {
+    if (!engine.partial()) {
+      return List.of(engine.layers());
+    }
+    List<LayerRange> ranges = new ArrayList<>();
+    for (int from : boundaries) {
+      for (int to : boundaries) {
+        if (from < to && engine.layers().contains(new LayerRange(from, to))) {
+          ranges.add(new LayerRange(from, to));
+        }
+      }
+    }
+    return ranges;
+  }
+
+  static TargetDescription.Engine engine(TargetFact target) {
+    TargetDescription.Engine engine = target.description().engine();
+    if (engine == null) {
+      throw new IllegalArgumentException(target.name() + " is a service, not an engine");
+    }
+    return engine;
+  }
+
+  private static int compare(LayerRange a, LayerRange b) {
+    return a.from() != b.from()
+        ? Integer.compare(a.from(), b.from())
+        : Integer.compare(a.to(), b.to());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/rules/RuleParser.java
@@ -0,0 +1,304 @@
+package org.clementinesail.core.rules;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.clementinesail.core.rules.Rule.DestinationKind;
+import org.clementinesail.core.rules.Rule.Priority;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Parses a rule file: one rule a line, each with a comment that names who asked for it.
+ *
+ * <pre>{@code
+ * number 12                                  # Gwen: spring term
+ * route workspace=guides model=sail-lm       # Gwen: folding guides
+ * call service=shop-app path=/orders repeat=never   # Tomos: orders bill twice otherwise
+ * }</pre>
+ */
+public final class RuleParser {
+  private static final Set<String> VERBS =
+      new TreeSet<>(Set.of("number", "route", "limit", "call", "drain", "want"));
+  private static final Map<String, Set<String>> KEYS =
+      Map.of(
+          "number", Set.of(),
+          "route", new TreeSet<>(Set.of("workspace", "model", "service", "prefer", "class")),
+          "limit", new TreeSet<>(Set.of("workspace", "rate", "concurrent")),
+          "call", new TreeSet<>(Set.of("service", "method", "path", "repeat")),
+          "drain", Set.of("target"),
+          "want", new TreeSet<>(Set.of("model", "replicas")));
+  private static final Set<String> METHODS =
+      new TreeSet<>(Set.of("*", "DELETE", "GET", "HEAD", "PATCH", "POST", "PUT"));
+  private static final int MAX_LINE_CHARS = 1_000;
+  private static final int MAX_CONCURRENT = 1_000_000;
+  private static final double MAX_RATE = 1e9;
+
+  private final List<RuleFault> faults = new ArrayList<>();
+  private final List<Rule> rules = new ArrayList<>();
+  private final Map<String, Integer> seen = new HashMap<>();
+  private long number;
+
+  private RuleParser() {}
+
+  /**
+   * Parses the text of a rule file.
+   *
+   * @param text whole text of the file, lines separated by {@code \n} or {@code \r\n}
+   */
+  public static RuleParse parse(String text) {
+    RuleParser parser = new RuleParser();
+    String[] lines = text.split("\r?\n", -1);
+    for (int i = 0; i < lines.length; i++) {
+      parser.parseLine(i + 1, lines[i]);
+    }
+    if (parser.number == 0 && !parser.seen.containsKey("number")) {
+      parser.fault(
+          1, "the file has no number; begin it with a line such as 'number 12  # who: why'");
+    }
+    if (!parser.faults.isEmpty()) {
+      return new RuleParse.Invalid(List.copyOf(parser.faults));
+    }
+    return new RuleParse.Valid(new RuleSet(parser.number, parser.rules));
+  }
+
+  private void parseLine(int line, String raw) {
+    String trimmed = raw.strip();
+    if (trimmed.isEmpty() || trimmed.startsWith("#")) {
+      return;
+    }
+    if (raw.length() > MAX_LINE_CHARS) {
+      fault(line, "the line has more than " + MAX_LINE_CHARS + " characters");
+      return;
+    }
+    int hash = trimmed.indexOf('#');
+    String requester = hash < 0 ? "" : trimmed.substring(hash + 1).strip();
+    String body = hash < 0 ? trimmed : trimmed.substring(0, hash).strip();
+    if (requester.isEmpty()) {
+      fault(line, "the rule has no comment; end the line with '# who asked: why'");
+    }
+    String[] words = body.split("\\s+");
+    String verb = words[0];
+    if (!VERBS.contains(verb)) {
+      fault(
+          line,
+          "unknown rule '"
+              + verb
+              + "', allowed are "
+              + String.join(", ", VERBS)
+              + NearestWord.clause(verb, VERBS));
+      return;
+    }
+    if (verb.equals("number")) {
+      parseNumber(line, words);
+      return;
+    }
+    Fields fields = new Fields(line, verb, words);
+    Rule rule = build(fields, requester);
+    if (fields.valid) {
+      rules.add(rule);
+    }
+  }
+
+  private void parseNumber(int line, String[] words) {
+    Integer first = seen.putIfAbsent("number", line);
+    if (first != null) {
+      fault(line, "a second 'number' line; the first is line " + first);
+      return;
+    }
+    if (words.length != 2 || !words[1].matches("[1-9][0-9]{0,17}")) {
+      fault(line, "'number' takes one whole number from 1 to 999999999999999999");
+      return;
+    }
+    number = Long.parseLong(words[1]);
+  }
+
+  private Rule build(Fields fields, String requester) {
+    return switch (fields.verb) {
+      case "route" -> route(fields, requester);
+      case "limit" -> limit(fields, requester);
+      case "call" -> call(fields, requester);
+      case "drain" -> drain(fields, requester);
+      default -> want(fields, requester);
+    };
+  }
+
+  private Rule drain(Fields fields, String requester) {
+    String target = fields.required("target");
+    once(fields.line, "drain target=" + target);
+    return new Rule.Drain(fields.line, requester, target);
+  }
+
+  private Rule want(Fields fields, String requester) {
+    String model = fields.required("model");
+    once(fields.line, "want model=" + model);
+    int replicas = (int) fields.number("replicas", 1, MAX_CONCURRENT, true);
+    return new Rule.Want(fields.line, requester, model, replicas);
+  }
+
+  private Rule route(Fields fields, String requester) {
+    String workspace = fields.required("workspace");
+    String model = fields.optional("model");
+    String service = fields.optional("service");
+    if ((model == null) == (service == null)) {
+      fields.fail("'route' takes exactly one of model= and service=");
+    }
+    DestinationKind kind = model != null ? DestinationKind.MODEL : DestinationKind.SERVICE;
+    String destination = model != null ? model : service == null ? "" : service;
+    once(fields.line, "route workspace=" + workspace + " to " + kind + " " + destination);
+    String word = fields.optional("class");
+    Priority priority = Priority.NORMAL;
+    if (word != null) {
+      priority = fields.choice("class", word, Priority.values());
+    }
+    return new Rule.Route(
+        fields.line, requester, workspace, kind, destination, fields.optional("prefer"), priority);
+  }
+
+  private Rule limit(Fields fields, String requester) {
+    String workspace = fields.required("workspace");
+    once(fields.line, "limit workspace=" + workspace);
+    double rate = fields.number("rate", Double.MIN_VALUE, MAX_RATE, false);
+    int concurrent = (int) fields.number("concurrent", 1, MAX_CONCURRENT, true);
+    return new Rule.Limit(fields.line, requester, workspace, rate, concurrent);
+  }
+
+  private Rule call(Fields fields, String requester) {
+    String service = fields.required("service");
+    String method = fields.optional("method");
+    if (method == null) {
+      method = "*";
+    } else if (!METHODS.contains(method)) {
+      fields.fail(
+          "method '"
+              + method
+              + "' is not one of "
+              + String.join(", ", METHODS)
+              + NearestWord.clause(method, METHODS));
+    }
+    String path = fields.required("path");
+    if (!path.startsWith("/")) {
+      fields.fail("path '" + path + "' must start with '/'");
+    }
+    once(fields.line, "call service=" + service + " method=" + method + " path=" + path);
+    String repeat = fields.required("repeat");
+    Set<String> allowed = new TreeSet<>(Set.of("safe", "never"));
+    if (!allowed.contains(repeat)) {
+      fields.fail(
+          "repeat '"
+              + repeat
+              + "' is not one of never, safe"
+              + NearestWord.clause(repeat, allowed));
+    }
+    return new Rule.Call(fields.line, requester, service, method, path, repeat.equals("safe"));
+  }
+
+  private void once(int line, String what) {
+    Integer first = seen.putIfAbsent(what, line);
+    if (first != null) {
+      fault(line, "'" + what + "' stands already in line " + first);
+    }
+  }
+
+  private void fault(int line, String problem) {
+    faults.add(new RuleFault(line, problem));
+  }
+
+  /** The {@code key=value} words of one line. */
+  private final class Fields {
+    private final int line;
+    private final String verb;
+    private final Map<String, String> values = new HashMap<>();
+    private boolean valid = true;
+
+    Fields(int line, String verb, String[] words) {
+      this.line = line;
+      this.verb = verb;
+      Set<String> keys = KEYS.getOrDefault(verb, Set.of());
+      for (int i = 1; i < words.length; i++) {
+        read(words[i], keys);
+      }
+    }
+
+    private void read(String word, Set<String> keys) {
+      int equals = word.indexOf('=');
+      if (equals <= 0 || equals == word.length() - 1) {
+        fail("'" + word + "' is not of the form key=value");
+        return;
+      }
+      String key = word.substring(0, equals);
+      if (!keys.contains(key)) {
+        fail(
+            "unknown key '"
+                + key
+                + "' for '"
+                + verb
+                + "', allowed are "
+                + String.join(", ", keys)
+                + NearestWord.clause(key, keys));
+      } else if (values.putIfAbsent(key, word.substring(equals + 1)) != null) {
+        fail("key '" + key + "' is given twice");
+      }
+    }
+
+    void fail(String problem) {
+      valid = false;
+      fault(line, problem);
+    }
+
+    String required(String key) {
+      String value = values.get(key);
+      if (value == null) {
+        fail("'" + verb + "' needs " + key + "=");
+        return "";
+      }
+      return value;
+    }
+
+    @Nullable String optional(String key) {
+      return values.get(key);
+    }
+
+    Priority choice(String key, String word, Priority[] choices) {
+      Set<String> names = new TreeSet<>();
+      for (Priority choice : choices) {
+        String name = choice.name().toLowerCase(Locale.ROOT);
+        names.add(name);
+        if (name.equals(word)) {
+          return choice;
+        }
+      }
+      fail(
+          key
+              + " '"
+              + word
+              + "' is not one of "
+              + String.join(", ", names)
+              + NearestWord.clause(word, names));
+      return Priority.NORMAL;
+    }
+
+    double number(String key, double least, double most, boolean whole) {
+      String text = required(key);
+      if (text.isEmpty()) {
+        return least;
+      }
+      String pattern = whole ? "[0-9]{1,9}" : "[0-9]{1,9}(\\.[0-9]{1,6})?(/s)?";
+      double value = text.matches(pattern) ? Double.parseDouble(text.replace("/s", "")) : -1;
+      if (value < least || value > most) {
+        fail(
+            key
+                + " '"
+                + text
+                + "' must be a "
+                + (whole
+                    ? "whole number of at least 1"
+                    : "positive number a second, such as 20/s"));
+      }
+      return value;
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/ServerMain.java
@@ -0,0 +1,6 @@
+package org.clementinesail.server;
+
+/** x. */
+public final class ServerMain {
+  private ServerMain() {}
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -0,0 +1,313 @@
+package org.clementinesail.server.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.clementinesail.core.replication.LogEntry;
+import org.clementinesail.core.replication.Output;
+import org.clementinesail.core.replication.ReplicaCore;
+import org.clementinesail.core.replication.ReplicaId;
+import org.clementinesail.core.replication.ReplicaMessage;
+import org.clementinesail.core.replication.Snapshot;
+import org.clementinesail.core.state.Command;
+import org.clementinesail.core.state.CommandResult;
+import org.clementinesail.core.state.SystemState;
+import org.clementinesail.server.storage.ReplicaStore;
+import org.clementinesail.server.storage.StorageException;
+import org.clementinesail.wire.StateCodec;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Runs one replica: feeds the core, saves, sends and applies, on a thread of its own.
+ *
+ * <p>All inputs that wait are taken together and share one sync.
+ */
+public final class ReplicaDriver implements AutoCloseable {
+  private static final long TICK_MS = 10;
+  private static final int MAX_BATCH = 512;
+  private static final long ENTRIES_PER_SNAPSHOT = 1_000;
+
+  /** Something for the replica's thread to do. */
+  @FunctionalInterface
+  private interface Task {
+    void run(long now);
+  }
+
+  private record Pending(long term, CompletableFuture<CommandResult> result) {}
+
+  private record Read(Function<SystemState, ?> query, CompletableFuture<Object> result) {}
+
+  private final ReplicaCore core;
+  private final ReplicaStore store;
+  private final Consumer<ReplicaMessage> sender;
+  private final Consumer<Long> rulesAccepted;
+  private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
+  private final Map<Long, CompletableFuture<CommandResult>> proposals = new HashMap<>();
+  private final Map<Long, Pending> appended = new HashMap<>();
+  private final Map<Long, Read> reads = new HashMap<>();
+  private final Thread thread;
+  private SystemState state = SystemState.empty();
+  private long applied;
+  private long nextTicket = 1;
+  private volatile ReplicaStatus status = ReplicaStatus.NONE;
+  private volatile boolean stopping;
+
+  /**
+   * Creates a driver that does not run yet.
+   *
+   * @param core the replica
+   * @param store its files
+   * @param sender sends messages to other replicas; must not block
+   * @param rulesAccepted told of the number of each newly accepted rule file
+   */
+  public ReplicaDriver(
+      ReplicaCore core,
+      ReplicaStore store,
+      Consumer<ReplicaMessage> sender,
+      Consumer<Long> rulesAccepted) {
+    this.core = core;
+    this.store = store;
+    this.sender = sender;
+    this.rulesAccepted = rulesAccepted;
+    this.thread = new Thread(this::run, "replica");
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Returns the replica's latest status. */
+  public ReplicaStatus status() {
+    return status;
+  }
+
+  /**
+   * Takes a message from another replica.
+   *
+   * @param message the message
+   */
+  public void receive(ReplicaMessage message) {
+    submit(now -> core.receive(message, now));
+  }
+
+  /**
+   * Proposes a command.
+   *
+   * @param command the command
+   * @return its result once a majority has accepted it; fails with {@link NotLeaderException} where
+   *     this replica does not lead, or lost its lead before the command was accepted
+   */
+  public CompletableFuture<CommandResult> propose(Command command) {
+    CompletableFuture<CommandResult> result = new CompletableFuture<>();
+    byte[] bytes = StateCodec.encode(command).toByteArray();
+    submit(
+        now -> {
+          long ticket = nextTicket++;
+          proposals.put(ticket, result);
+          core.propose(ticket, bytes);
+        });
+    return result;
+  }
+
+  /**
+   * Reads the state as of now, confirmed by a majority.
+   *
+   * @param query reads from the state; must not keep it
+   * @param <T> type of the answer
+   * @return the answer; fails with {@link NotLeaderException} where this replica does not lead
+   */
+  public <T> CompletableFuture<T> read(Function<SystemState, T> query) {
+    CompletableFuture<Object> result = new CompletableFuture<>();
+    submit(
+        now -> {
+          long ticket = nextTicket++;
+          reads.put(ticket, new Read(query, result));
+          core.read(ticket);
+        });
+    @SuppressWarnings("unchecked")
+    CompletableFuture<T> typed = (CompletableFuture<T>) result;
+    return typed;
+  }
+
+  /** Hands leadership to another replica, if this one leads. */
+  public void transferLeadership() {
+    submit(core::transferLeadership);
+  }
+
+  @Override
+  public void close() {
+    stopping = true;
+    thread.interrupt();
+    try {
+      thread.join(TimeUnit.SECONDS.toMillis(5));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    store.close();
+  }
+
+  private void submit(Task task) {
+    if (stopping) {
+      return;
+    }
+    tasks.add(task);
+  }
+
+  private void run() {
+    try {
+      while (!stopping) {
+        turn();
+      }
+    } catch (InterruptedException e) {
+      Logger.debug("the replica's thread ends");
+    } catch (StorageException e) {
+      fail(e);
+    } catch (RuntimeException e) {
+      fail(e);
+    }
+  }
+
+  private void turn() throws InterruptedException, StorageException {
+    Task first = tasks.poll(TICK_MS, TimeUnit.MILLISECONDS);
+    List<Task> batch = new ArrayList<>();
+    if (first != null) {
+      batch.add(first);
+      tasks.drainTo(batch, MAX_BATCH);
+    }
+    long now = System.nanoTime();
+    for (Task task : batch) {
+      task.run(now);
+    }
+    core.tick(now);
+    core.flush(now);
+    perform(core.takeOutputs());
+    compactIfDue();
+    publish(now);
+  }
+
+  private void perform(List<Output> outputs) throws StorageException {
+    List<Output.Save> saves = new ArrayList<>();
+    for (Output output : outputs) {
+      if (output instanceof Output.Save save) {
+        saves.add(save);
+      }
+    }
+    if (!saves.isEmpty()) {
+      store.save(saves);
+    }
+    for (Output output : outputs) {
+      if (output instanceof Output.Send send) {
+        sender.accept(send.message());
+      } else if (output instanceof Output.Apply apply) {
+        apply(apply.entry());
+      } else if (output instanceof Output.Restore restore) {
+        state = StateCodec.decodeState(restore.snapshot().state());
+        applied = restore.snapshot().index();
+      } else {
+        answer(output);
+      }
+    }
+  }
+
+  private void answer(Output output) {
+    if (output instanceof Output.Appended note) {
+      CompletableFuture<CommandResult> result = proposals.remove(note.ticket());
+      if (result != null) {
+        Pending before = appended.put(note.index(), new Pending(note.term(), result));
+        if (before != null) {
+          before.result().completeExceptionally(notLeader());
+        }
+      }
+    } else if (output instanceof Output.Refused refused) {
+      refuse(refused.ticket());
+    } else if (output instanceof Output.ReadConfirmed confirmed) {
+      Read read = reads.remove(confirmed.ticket());
+      if (read != null) {
+        read.result().complete(read.query().apply(state));
+      }
+    }
+  }
+
+  private void refuse(long ticket) {
+    CompletableFuture<CommandResult> proposal = proposals.remove(ticket);
+    if (proposal != null) {
+      proposal.completeExceptionally(notLeader());
+    }
+    Read read = reads.remove(ticket);
+    if (read != null) {
+      read.result().completeExceptionally(notLeader());
+    }
+  }
+
+  private void apply(LogEntry entry) {
+    applied = entry.index();
+    Pending pending = appended.remove(entry.index());
+    if (!(entry.payload() instanceof LogEntry.Command command)) {
+      failPending(pending);
+      return;
+    }
+    long rulesBefore = state.latest().number();
+    CommandResult result = state.apply(StateCodec.decodeCommand(command.bytes()));
+    if (pending != null && pending.term() == entry.term()) {
+      pending.result().complete(result);
+    } else {
+      failPending(pending);
+    }
+    if (state.latest().number() > rulesBefore) {
+      rulesAccepted.accept(state.latest().number());
+    }
+  }
+
+  private void failPending(@Nullable Pending pending) {
+    if (pending != null) {
+      pending.result().completeExceptionally(notLeader());
+    }
+  }
+
+  private void compactIfDue() throws StorageException {
+    if (applied - core.snapshot().index() < ENTRIES_PER_SNAPSHOT) {
+      return;
+    }
+    Snapshot snapshot = core.compact(applied, StateCodec.encode(state.image()));
+    store.compact(snapshot, core.entriesAfterSnapshot());
+  }
+
+  private NotLeaderException notLeader() {
+    return new NotLeaderException(core.leader().map(ReplicaId::vm).orElse(""));
+  }
+
+  private void publish(long now) {
+    status =
+        new ReplicaStatus(
+            core.role().name().toLowerCase(Locale.ROOT).replace('_', '-'),
+            core.term(),
+            core.leader().map(ReplicaId::vm).orElse(""),
+            core.commit(),
+            core.lastIndex(),
+            core.config().voters().stream().map(ReplicaId::vm).toList(),
+            core.config().learners().stream().map(ReplicaId::vm).toList(),
+            core.authorityDeadline(now));
+  }
+
+  private void fail(Exception cause) {
+    stopping = true;
+    Logger.error(cause, "the replica steps down for good: {}", cause.getMessage());
+    status =
+        new ReplicaStatus("failed", core.term(), "", core.commit(), 0, List.of(), List.of(), 0);
+    NotLeaderException failure = new NotLeaderException("");
+    proposals.values().forEach(result -> result.completeExceptionally(failure));
+    appended.values().forEach(pending -> pending.result().completeExceptionally(failure));
+    reads.values().forEach(read -> read.result().completeExceptionally(failure));
+    store.close();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interfaces for callers, targets and operators. */
+package org.clementinesail.server.http;
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/logging/package-info.java
@@ -0,0 +1,2 @@
+/** JSON-lines logs. */
+package org.clementinesail.server.logging;
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/settings/SettingsReader.java
@@ -0,0 +1,195 @@
+package org.clementinesail.server.settings;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Compose;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+import org.snakeyaml.engine.v2.nodes.Node;
+
+/**
+ * Reads and checks a settings file; all problems are reported together.
+ *
+ * <pre>{@code
+ * SettingsResult result = SettingsReader.read(Path.of("vm-1.yaml"));
+ * }</pre>
+ */
+public final class SettingsReader {
+  private static final int MIN_SECRET_CHARS = 16;
+  private static final int MAX_REQUESTS = 10_000;
+  private static final int DEFAULT_REQUESTS = 400;
+  private static final long DEFAULT_BODY_BYTES = 1_048_576;
+  private static final long DEFAULT_HEADER_BYTES = 16_384;
+  private static final long DEFAULT_ANSWER_BYTES = 65_536;
+  private static final long MAX_ANSWER_BYTES = 1_048_576;
+
+  private final Path file;
+  private final List<SettingsProblem> problems = new ArrayList<>();
+
+  private SettingsReader(Path file) {
+    this.file = file;
+  }
+
+  /**
+   * Reads a settings file. Paths in it are relative to its folder.
+   *
+   * @param file the file
+   */
+  public static SettingsResult read(Path file) {
+    return new SettingsReader(file).read();
+  }
+
+  private SettingsResult read() {
+    Optional<Node> root;
+    try {
+      String text = Files.readString(file);
+      root = new Compose(LoadSettings.builder().build()).composeString(text);
+    } catch (MarkedYamlEngineException e) {
+      int line = e.getProblemMark().map(mark -> mark.getLine() + 1).orElse(0);
+      return refused(new SettingsProblem(line, "not YAML: " + e.getProblem()));
+    } catch (YamlEngineException e) {
+      return refused(new SettingsProblem(0, "not YAML: " + e.getMessage()));
+    } catch (NoSuchFileException e) {
+      return refused(new SettingsProblem(0, "the file does not exist"));
+    } catch (IOException e) {
+      return refused(new SettingsProblem(0, "the file cannot be read"));
+    }
+    Settings settings = settings(new YamlSection("", 1, root.orElse(null), problems));
+    if (problems.isEmpty()) {
+      return new SettingsResult.Usable(settings);
+    }
+    problems.sort(Comparator.comparingInt(SettingsProblem::line));
+    return new SettingsResult.Refused(List.copyOf(problems));
+  }
+
+  private static SettingsResult refused(SettingsProblem problem) {
+    return new SettingsResult.Refused(List.of(problem));
+  }
+
+  private Settings settings(YamlSection root) {
+    String vm = root.text("vm");
+    Settings settings =
+        new Settings(
+            vm,
+            root.text("data-centre"),
+            listen(root.section("listen")),
+            peers(root, vm),
+            dataFolder(root),
+            secret(root, "peer-secret-file"),
+            secret(root, "operator-token-file"),
+            deadlines(root.section("deadlines")),
+            limits(root.section("limits")));
+    if (settings.replicaVms().isEmpty()) {
+      root.problem(
+          "peers", "no VM holds a replica; give this VM a data-folder or a peer replica: true");
+    }
+    root.refuseUnknownKeys();
+    return settings;
+  }
+
+  private static Settings.Listen listen(YamlSection section) {
+    Settings.Listen listen =
+        new Settings.Listen(
+            section.address("callers"),
+            section.address("targets"),
+            section.address("operators"),
+            section.address("peers"));
+    section.refuseUnknownKeys();
+    return listen;
+  }
+
+  private static List<Settings.Peer> peers(YamlSection root, String self) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    Set<String> names = new HashSet<>(Set.of(self));
+    for (YamlSection section : root.sections("peers")) {
+      Settings.Peer peer =
+          new Settings.Peer(
+              section.text("vm"), section.address("address"), section.flag("replica", false));
+      if (!names.add(peer.vm())) {
+        section.problem("vm", "VM '" + peer.vm() + "' is named twice");
+      }
+      section.refuseUnknownKeys();
+      peers.add(peer);
+    }
+    return peers;
+  }
+
+  private @Nullable Path dataFolder(YamlSection root) {
+    if (!root.has("data-folder")) {
+      return null;
+    }
+    Path folder = resolve(root.text("data-folder"));
+    if (!Files.isDirectory(folder)) {
+      root.problem("data-folder", "'data-folder' " + folder.getFileName() + " is not a folder");
+    } else if (!Files.isWritable(folder)) {
+      root.problem("data-folder", "'data-folder' " + folder.getFileName() + " is not writable");
+    }
+    return folder;
+  }
+
+  private String secret(YamlSection root, String key) {
+    String name = root.text(key);
+    if (name.isEmpty()) {
+      return "";
+    }
+    try {
+      String secret = Files.readString(resolve(name), StandardCharsets.UTF_8).strip();
+      if (secret.length() < MIN_SECRET_CHARS) {
+        root.problem(
+            key,
+            "the file of '" + key + "' must hold at least " + MIN_SECRET_CHARS + " characters");
+      }
+      return secret;
+    } catch (IOException e) {
+      root.problem(key, "the file of '" + key + "' cannot be read: " + name);
+      return "";
+    }
+  }
+
+  private Path resolve(String name) {
+    Path folder = file.toAbsolutePath().getParent();
+    return folder == null ? Path.of(name) : folder.resolve(name);
+  }
+
+  private static Settings.Deadlines deadlines(YamlSection section) {
+    Settings.Deadlines deadlines =
+        new Settings.Deadlines(
+            section.duration("request", Duration.ofSeconds(120)),
+            section.duration("step", Duration.ofSeconds(2)),
+            section.duration("connect", Duration.ofSeconds(1)),
+            section.duration("service-call", Duration.ofSeconds(30)),
+            section.duration("claim", Duration.ofSeconds(3)),
+            section.duration("rules-confirm", Duration.ofSeconds(5)),
+            section.duration("drain", Duration.ofSeconds(120)),
+            section.duration("caller-idle", Duration.ofSeconds(30)));
+    section.refuseUnknownKeys();
+    return deadlines;
+  }
+
+  private static Settings.Limits limits(YamlSection section) {
+    long answer = section.size("answer-kept", DEFAULT_ANSWER_BYTES);
+    if (answer > MAX_ANSWER_BYTES) {
+      section.problem("answer-kept", "'limits.answer-kept' is above 1MiB");
+    }
+    Settings.Limits limits =
+        new Settings.Limits(
+            section.size("body", DEFAULT_BODY_BYTES),
+            (int) Math.min(Integer.MAX_VALUE, section.size("header", DEFAULT_HEADER_BYTES)),
+            section.count("requests", DEFAULT_REQUESTS, 1, MAX_REQUESTS),
+            (int) Math.min(MAX_ANSWER_BYTES, answer));
+    section.refuseUnknownKeys();
+    return limits;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a VM: reading, checking and error messages. */
+package org.clementinesail.server.settings;
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
@@ -0,0 +1,165 @@
+package org.clementinesail.server.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/** A locked data folder: its identity, and files that are replaced whole. */
+final class DataFolder implements AutoCloseable {
+  private static final String IDENTITY = "identity";
+  private static final String LOCK = "lock";
+  private static final String TEMPORARY = ".tmp";
+  private static final int HEX = 16;
+
+  private final Path folder;
+  private final DiskOps disk;
+  private final FileChannel lock;
+  private long syncs;
+  private long bytesWritten;
+
+  private DataFolder(Path folder, DiskOps disk, FileChannel lock) {
+    this.folder = folder;
+    this.disk = disk;
+    this.lock = lock;
+  }
+
+  static DataFolder open(Path folder, DiskOps disk) throws StorageException {
+    FileChannel channel = null;
+    try {
+      channel =
+          FileChannel.open(
+              folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+      FileLock held = channel.tryLock();
+      if (held != null) {
+        return new DataFolder(folder, disk, channel);
+      }
+      closeQuietly(channel);
+      throw new StorageException(folder, "another process uses this data folder", null);
+    } catch (OverlappingFileLockException e) {
+      closeQuietly(channel);
+      throw new StorageException(folder, "this process uses the data folder already", e);
+    } catch (IOException e) {
+      throw new StorageException(folder, "cannot be locked: " + e.getMessage(), e);
+    }
+  }
+
+  Path path(String name) {
+    return folder.resolve(name);
+  }
+
+  Path folder() {
+    return folder;
+  }
+
+  long syncs() {
+    return syncs;
+  }
+
+  long bytesWritten() {
+    return bytesWritten;
+  }
+
+  /** Returns the number of this disk, drawn when the folder was first used. */
+  long identity(boolean holdsState) throws IOException, StorageException {
+    Path path = path(IDENTITY);
+    if (Files.exists(path)) {
+      String hex = new String(readWhole(path), StandardCharsets.US_ASCII);
+      return Long.parseUnsignedLong(hex, HEX);
+    }
+    if (holdsState) {
+      throw new StorageException.Damaged(path, "the identity is missing beside a snapshot");
+    }
+    long number = new SecureRandom().nextLong() | 1;
+    replace(IDENTITY, Long.toHexString(number).getBytes(StandardCharsets.US_ASCII));
+    return number;
+  }
+
+  /** Deletes all state. */
+  void discard() throws IOException {
+    // The identity goes first: without it the rest can never be taken for this replica's state.
+    Files.deleteIfExists(path(IDENTITY));
+    syncFolder();
+    for (Path file : files()) {
+      if (!file.endsWith(LOCK)) {
+        Files.delete(file);
+      }
+    }
+    syncFolder();
+  }
+
+  byte[] readWhole(Path path) throws IOException, StorageException {
+    RecordFormat.Scan scan = RecordFormat.scan(ByteBuffer.wrap(Files.readAllBytes(path)));
+    if (scan.payloads().size() != 1) {
+      throw new StorageException.Damaged(path, "the checksum does not match");
+    }
+    return scan.payloads().get(0);
+  }
+
+  void replace(String name, byte[] payload) throws IOException {
+    Path temporary = path(name + TEMPORARY);
+    try (FileChannel channel = create(temporary)) {
+      append(channel, payload);
+    }
+    Files.move(
+        temporary, path(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    syncFolder();
+  }
+
+  FileChannel create(Path path) throws IOException {
+    return FileChannel.open(
+        path,
+        StandardOpenOption.CREATE,
+        StandardOpenOption.TRUNCATE_EXISTING,
+        StandardOpenOption.WRITE);
+  }
+
+  void append(FileChannel channel, byte[] payload) throws IOException {
+    ByteBuffer frame = RecordFormat.frame(payload);
+    bytesWritten += frame.remaining();
+    disk.write(channel, frame);
+    sync(channel);
+  }
+
+  void sync(FileChannel channel) throws IOException {
+    disk.sync(channel);
+    syncs++;
+  }
+
+  List<Path> files() throws IOException {
+    try (Stream<Path> list = Files.list(folder)) {
+      return list.toList();
+    }
+  }
+
+  @Override
+  public void close() {
+    closeQuietly(lock);
+  }
+
+  private void syncFolder() throws IOException {
+    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+      channel.force(true);
+    }
+  }
+
+  static void closeQuietly(@Nullable FileChannel channel) {
+    try {
+      if (channel != null) {
+        channel.close();
+      }
+    } catch (IOException e) {
+      // Nothing written is lost: every save was synced before.
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -0,0 +1,267 @@
+package org.clementinesail.server.targets;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.clementinesail.core.pipeline.StepCall;
+import org.clementinesail.core.pipeline.StepFailure;
+import org.clementinesail.core.pipeline.StepResult;
+import org.clementinesail.core.routing.Stage;
+import org.clementinesail.core.targets.TargetDescription;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Speaks the target interface to engines, over HTTP and JSON.
+ *
+ * <p>While a step is out, a silent engine is asked on a new connection whether it runs the step; so
+ * a lost connection is told from a lost engine, and both from a long step.
+ */
+public final class EngineClient implements Engines {
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final Duration QUIET = Duration.ofMillis(400);
+  private static final Duration PROBE = Duration.ofMillis(400);
+  private static final int HTTP_CONFLICT = 409;
+  private static final int IDLE_CONNECTIONS_PER_TARGET = 64;
+  private static final Duration IDLE_CONNECTION_KEPT = Duration.ofSeconds(30);
+
+  private final ObjectMapper mapper;
+  private final OkHttpClient base;
+  private final OkHttpClient fresh;
+  private final Duration stepDeadline;
+  private final Map<String, OkHttpClient> clients = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param mapper reads and writes JSON
+   * @param connect how long the making of a connection may take
+   * @param step how long one step may take
+   */
+  public EngineClient(ObjectMapper mapper, Duration connect, Duration step) {
+    this.mapper = mapper;
+    this.stepDeadline = step;
+    Dispatcher dispatcher = new Dispatcher();
+    dispatcher.setMaxRequests(Integer.MAX_VALUE);
+    dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+    this.base =
+        new OkHttpClient.Builder()
+            .dispatcher(dispatcher)
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(connect)
+            .readTimeout(Duration.ZERO)
+            .callTimeout(step)
+            .build();
+    this.fresh =
+        base.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS)).build();
+  }
+
+  @Override
+  public StepOutcome step(String model, StepCall call) throws InterruptedException {
+    StepOutcome first = attempt(clientOf(call.stage().target()), model, call);
+    boolean lostConnection =
+        first instanceof StepOutcome.Failed failed && failed.reason() == StepFailure.SILENT;
+    if (!lostConnection || !answers(call.stage().target(), call.requestId())) {
+      return first;
+    }
+    clients.remove(call.stage().target().name());
+    return attempt(fresh, model, call);
+  }
+
+  @Override
+  public @Nullable List<String> tokenize(TargetDescription target, String model, String text) {
+    ObjectNode body = mapper.createObjectNode().put("model", model).put("text", text);
+    try (Response response = fresh.newCall(post(target, "/v1/tokenize", body)).execute()) {
+      if (!response.isSuccessful()) {
+        return null;
+      }
+      return texts(mapper.readTree(response.body().byteStream()).path("tokens"));
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  @Override
+  public void cancel(Stage stage, String requestId) {
+    ObjectNode body = mapper.createObjectNode().put("request", requestId);
+    clientOf(stage.target()).newCall(post(stage.target(), "/v1/cancel", body)).enqueue(IGNORE);
+  }
+
+  private StepOutcome attempt(OkHttpClient client, String model, StepCall call)
+      throws InterruptedException {
+    TargetDescription target = call.stage().target();
+    Call http = client.newCall(post(target, "/v1/step", stepBody(model, call)));
+    CompletableFuture<StepOutcome> answer = new CompletableFuture<>();
+    http.enqueue(new StepCallback(answer));
+    long deadline = System.nanoTime() + stepDeadline.toNanos();
+    while (true) {
+      try {
+        return answer.get(QUIET.toMillis(), TimeUnit.MILLISECONDS);
+      } catch (TimeoutException e) {
+        boolean late = System.nanoTime() - deadline > 0;
+        if (late || !runs(target, call.requestId())) {
+          http.cancel();
+          return answer.isDone() ? answer.join() : new StepOutcome.Failed(StepFailure.SILENT);
+        }
+      } catch (ExecutionException e) {
+        return new StepOutcome.Failed(StepFailure.REJECTED);
+      } catch (InterruptedException e) {
+        http.cancel();
+        throw e;
+      }
+    }
+  }
+
+  /** Returns whether the engine says, on a new connection, that it runs a step of the request. */
+  private boolean runs(TargetDescription target, String requestId) {
+    JsonNode health = health(target, requestId);
+    return health != null && health.path("running").asBoolean(false);
+  }
+
+  private boolean answers(TargetDescription target, String requestId) {
+    return health(target, requestId) != null;
+  }
+
+  private @Nullable JsonNode health(TargetDescription target, String requestId) {
+    OkHttpClient probe = fresh.newBuilder().callTimeout(PROBE).build();
+    Request request =
+        new Request.Builder().url(target.address() + "/v1/health?request=" + requestId).build();
+    try (Response response = probe.newCall(request).execute()) {
+      return response.isSuccessful() ? mapper.readTree(response.body().byteStream()) : null;
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  private ObjectNode stepBody(String model, StepCall call) {
+    ObjectNode body =
+        mapper
+            .createObjectNode()
+            .put("request", call.requestId())
+            .put("attempt", call.attempt())
+            .put("model", model)
+            .put("first_position", call.firstPosition())
+            .put("wants_token", call.wantsToken());
+    body.putObject("layers")
+        .put("from", call.stage().layers().from())
+        .put("to", call.stage().layers().to());
+    ArrayNode inputs = body.putArray("inputs");
+    call.inputs().forEach(inputs::add);
+    return body;
+  }
+
+  private Request post(TargetDescription target, String path, ObjectNode body) {
+    return new Request.Builder()
+        .url(target.address() + path)
+        .post(RequestBody.create(body.toString(), JSON))
+        .build();
+  }
+
+  private OkHttpClient clientOf(TargetDescription target) {
+    return clients.computeIfAbsent(
+        target.name(),
+        key ->
+            base.newBuilder()
+                .connectionPool(
+                    new ConnectionPool(
+                        IDLE_CONNECTIONS_PER_TARGET,
+                        IDLE_CONNECTION_KEPT.toMillis(),
+                        TimeUnit.MILLISECONDS))
+                .build());
+  }
+
+  private static List<String> texts(JsonNode array) {
+    List<String> texts = new ArrayList<>();
+    array.forEach(item -> texts.add(item.asText()));
+    return texts;
+  }
+
+  private static StepFailure failure(IOException error) {
+    if (error instanceof ConnectException) {
+      return StepFailure.UNREACHABLE;
+    }
+    boolean timeout =
+        error instanceof SocketTimeoutException || "timeout".equals(error.getMessage());
+    return timeout ? StepFailure.SILENT : StepFailure.CRASHED;
+  }
+
+  private static final Callback IGNORE =
+      new Callback() {
+        @Override
+        public void onFailure(Call call, IOException error) {
+          // Cancelling is a courtesy: the engine drops idle requests by itself.
+        }
+
+        @Override
+        public void onResponse(Call call, Response response) {
+          response.close();
+        }
+      };
+
+  /** Turns an HTTP answer into the outcome of a step. */
+  private final class StepCallback implements Callback {
+    private final CompletableFuture<StepOutcome> outcome;
+
+    StepCallback(CompletableFuture<StepOutcome> outcome) {
+      this.outcome = outcome;
+    }
+
+    @Override
+    public void onFailure(Call call, IOException error) {
+      outcome.complete(new StepOutcome.Failed(failure(error)));
+    }
+
+    @Override
+    public void onResponse(Call call, Response response) {
+      try (response) {
+        outcome.complete(read(response));
+      } catch (IOException e) {
+        outcome.complete(new StepOutcome.Failed(failure(e)));
+      } catch (RuntimeException e) {
+        outcome.complete(new StepOutcome.Failed(StepFailure.REJECTED));
+      }
+    }
+
+    private StepOutcome read(Response response) throws IOException {
+      if (response.code() == HTTP_CONFLICT) {
+        return new StepOutcome.Failed(StepFailure.CACHE_LOST);
+      }
+      if (!response.isSuccessful()) {
+        return new StepOutcome.Failed(StepFailure.REJECTED);
+      }
+      JsonNode json = mapper.readTree(response.body().byteStream());
+      JsonNode token = json.get("token");
+      StepResult result =
+          new StepResult(
+              json.path("request").asText(),
+              json.path("attempt").asInt(),
+              json.path("first_position").asInt(),
+              texts(json.path("outputs")),
+              token == null || token.isNull() ? null : token.asText(),
+              json.path("end_of_text").asBoolean(false));
+      return new StepOutcome.Done(result, json.path("compute_seconds").asDouble(0));
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetGossip.java
@@ -0,0 +1,118 @@
+package org.clementinesail.server.targets;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.clementinesail.core.targets.TargetFact;
+import org.clementinesail.wire.TargetCodec;
+import org.clementinesail.wire.proto.Frame;
+import org.clementinesail.wire.proto.TargetDigests;
+import org.clementinesail.wire.proto.TargetFacts;
+import org.tinylog.Logger;
+
+/**
+ * Spreads statements about targets to all VMs: each once by the VM that heard it, and what got lost
+ * by comparing digests with one VM drawn at random.
+ */
+public final class TargetGossip {
+  private static final long FLUSH_MS = 200;
+  private static final long DIGEST_MS = 1_000;
+
+  private final TargetRegistry registry;
+  private final List<String> peers;
+  private final BiConsumer<String, Frame> network;
+  private final RandomGenerator random;
+
+  /**
+   * Creates a gossip that is not running.
+   *
+   * @param registry the targets
+   * @param peers names of the other VMs
+   * @param network sends a frame to a VM
+   * @param random source of draws
+   */
+  public TargetGossip(
+      TargetRegistry registry,
+      List<String> peers,
+      BiConsumer<String, Frame> network,
+      RandomGenerator random) {
+    this.registry = registry;
+    this.peers = List.copyOf(peers);
+    this.network = network;
+    this.random = random;
+  }
+
+  /**
+   * Begins to spread.
+   *
+   * @param timer runs the rounds
+   */
+  public void start(ScheduledExecutorService timer) {
+    var unusedFlush =
+        timer.scheduleWithFixedDelay(
+            () -> guarded(this::flush), FLUSH_MS, FLUSH_MS, TimeUnit.MILLISECONDS);
+    var unusedDigest =
+        timer.scheduleWithFixedDelay(
+            () -> guarded(this::compare), DIGEST_MS, DIGEST_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends what is new to all other VMs at once. */
+  public void flush() {
+    registry.expire();
+    List<TargetFact> outgoing = registry.takeOutgoing();
+    if (outgoing.isEmpty()) {
+      return;
+    }
+    TargetFacts facts = TargetCodec.encode(outgoing, System.nanoTime());
+    Frame frame = Frame.newBuilder().setTargetFacts(facts).build();
+    peers.forEach(vm -> network.accept(vm, frame));
+  }
+
+  /**
+   * Takes statements from another VM.
+   *
+   * @param facts the statements
+   */
+  public void received(TargetFacts facts) {
+    registry.merge(TargetCodec.decode(facts, System.nanoTime()));
+  }
+
+  /**
+   * Answers another VM's digests with what it may lack.
+   *
+   * @param vm name of the VM
+   * @param digests its digests
+   */
+  public void received(String vm, TargetDigests digests) {
+    long[] others = digests.getDigestsList().stream().mapToLong(Long::longValue).toArray();
+    List<TargetFact> lacking = registry.differing(others);
+    if (!lacking.isEmpty()) {
+      TargetFacts facts = TargetCodec.encode(lacking, System.nanoTime());
+      network.accept(vm, Frame.newBuilder().setTargetFacts(facts).build());
+    }
+  }
+
+  private void compare() {
+    if (peers.isEmpty()) {
+      return;
+    }
+    List<Long> digests = new ArrayList<>();
+    for (long digest : registry.digests()) {
+      digests.add(digest);
+    }
+    TargetDigests message = TargetDigests.newBuilder().addAllDigests(digests).build();
+    String vm = peers.get(random.nextInt(peers.size()));
+    network.accept(vm, Frame.newBuilder().setTargetDigests(message).build());
+  }
+
+  private static void guarded(Runnable round) {
+    try {
+      round.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "a round of spreading statements about targets failed");
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/wiring/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of the server by Dagger. */
+package org.clementinesail.server.wiring;
--- /dev/null
+++ b/wire/src/main/java/org/clementinesail/wire/AcceptedPeer.java
@@ -0,0 +1,76 @@
+package org.clementinesail.wire;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.clementinesail.wire.proto.AuthAnswer;
+import org.clementinesail.wire.proto.AuthChallenge;
+import org.clementinesail.wire.proto.AuthDone;
+import org.clementinesail.wire.proto.Frame;
+import org.clementinesail.wire.proto.Ping;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/** The accepting side of a connection: challenges, then receives. */
+final class AcceptedPeer extends SimpleChannelInboundHandler<Frame> {
+  private final String self;
+  private final SharedSecret secret;
+  private final PeerListener listener;
+  private final ByteString nonce;
+  private @Nullable String vm;
+
+  AcceptedPeer(String self, SharedSecret secret, PeerListener listener) {
+    super(Frame.class);
+    this.self = self;
+    this.secret = secret;
+    this.listener = listener;
+    this.nonce = secret.nonce();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    AuthChallenge challenge = AuthChallenge.newBuilder().setNonce(nonce).build();
+    context.writeAndFlush(Frame.newBuilder().setAuthChallenge(challenge).build());
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    String authenticated = vm;
+    if (authenticated == null) {
+      authenticate(context, frame);
+    } else if (frame.hasPing()) {
+      Ping answer = Ping.newBuilder().setAnswer(true).build();
+      context.writeAndFlush(Frame.newBuilder().setPing(answer).build());
+    } else {
+      listener.received(authenticated, frame);
+    }
+  }
+
+  private void authenticate(ChannelHandlerContext context, Frame frame) {
+    AuthAnswer answer = frame.getAuthAnswer();
+    ByteString expected = secret.prove("client", nonce, answer.getNonce(), answer.getVm());
+    if (!frame.hasAuthAnswer() || !SharedSecret.same(expected, answer.getMac())) {
+      Logger.warn("refused a connection that does not hold the shared secret");
+      context.close();
+      return;
+    }
+    vm = answer.getVm();
+    FrameCodec.allowLargeFrames(context.pipeline());
+    ByteString proof = secret.prove("server", nonce, answer.getNonce(), self);
+    context.writeAndFlush(
+        Frame.newBuilder().setAuthDone(AuthDone.newBuilder().setMac(proof)).build());
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
@@ -0,0 +1,133 @@
+package org.clementinesail.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.wire.proto.Frame;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connections to all other VMs of the site. Frames may be lost; a connection that goes silent is
+ * replaced by a new one.
+ *
+ * <pre>{@code
+ * PeerNetwork network = new PeerNetwork("vm-1", bind, peers, secret, listener);
+ * network.start();
+ * network.send("vm-2", frame);
+ * }</pre>
+ */
+public final class PeerNetwork implements AutoCloseable {
+  private static final int NETWORK_THREADS = 2;
+  private static final int SILENCE_MS = 5_000;
+
+  private final String self;
+  private final InetSocketAddress bind;
+  private final SharedSecret secret;
+  private final PeerListener listener;
+  private final Traffic traffic = new Traffic();
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+  private @Nullable Channel server;
+
+  /**
+   * Creates a network without connections.
+   *
+   * @param self name of this VM
+   * @param bind address to accept connections at
+   * @param peers addresses of the other VMs by name
+   * @param secret secret that all VMs share
+   * @param listener receives frames
+   */
+  public PeerNetwork(
+      String self,
+      InetSocketAddress bind,
+      Map<String, InetSocketAddress> peers,
+      SharedSecret secret,
+      PeerListener listener) {
+    this.self = self;
+    this.bind = bind;
+    this.secret = secret;
+    this.listener = listener;
+    peers.forEach(
+        (vm, address) ->
+            links.put(vm, new PeerLink(self, vm, address, secret, traffic, group, listener)));
+  }
+
+  /** Accepts connections and begins to connect to the other VMs. */
+  public void start() {
+    server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(new IdleStateHandler(SILENCE_MS, 0, 0, TimeUnit.MILLISECONDS));
+                    FrameCodec.install(channel.pipeline(), traffic);
+                    channel.pipeline().addLast(new AcceptedPeer(self, secret, listener));
+                  }
+                })
+            .bind(bind)
+            .syncUninterruptibly()
+            .channel();
+    links.values().forEach(PeerLink::connect);
+  }
+
+  /**
+   * Sends a frame if a connection is open and takes it.
+   *
+   * @param vm name of the receiver
+   * @param frame the frame
+   * @return whether the frame was handed to a connection; it may be lost all the same
+   */
+  public boolean send(String vm, Frame frame) {
+    PeerLink link = links.get(vm);
+    return link != null && link.send(frame);
+  }
+
+  /**
+   * Returns what is known of the way to a VM.
+   *
+   * @param vm name of the VM
+   */
+  public PeerReach reach(String vm) {
+    PeerLink link = links.get(vm);
+    return link == null ? PeerReach.SILENT : link.reach();
+  }
+
+  /** Returns the names of the other VMs. */
+  public Iterable<String> peers() {
+    return links.keySet();
+  }
+
+  /** Returns the byte counts. */
+  public Traffic traffic() {
+    return traffic;
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(PeerLink::close);
+    if (server != null) {
+      server.close().syncUninterruptibly();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinesail/wire/SharedSecret.java
@@ -0,0 +1,48 @@
+package org.clementinesail.wire;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+
+/** The secret that all VMs of a site share; shown by answering challenges, never sent. */
+public final class SharedSecret {
+  private static final int NONCE_BYTES = 32;
+
+  private final byte[] secret;
+  private final SecureRandom random = new SecureRandom();
+
+  /**
+   * Takes a secret.
+   *
+   * @param secret the secret, at least 16 characters
+   */
+  public SharedSecret(String secret) {
+    this.secret = secret.getBytes(StandardCharsets.UTF_8);
+  }
+
+  ByteString nonce() {
+    byte[] nonce = new byte[NONCE_BYTES];
+    random.nextBytes(nonce);
+    return ByteString.copyFrom(nonce);
+  }
+
+  ByteString prove(String side, ByteString serverNonce, ByteString clientNonce, String vm) {
+    Hasher hasher = Hashing.hmacSha256(secret).newHasher();
+    hasher.putString(side, StandardCharsets.UTF_8).putByte((byte) 0);
+    hasher.putBytes(serverNonce.toByteArray()).putBytes(clientNonce.toByteArray());
+    hasher.putString(vm, StandardCharsets.UTF_8);
+    return ByteString.copyFrom(hasher.hash().asBytes());
+  }
+
+  static boolean same(ByteString a, ByteString b) {
+    return MessageDigest.isEqual(a.toByteArray(), b.toByteArray());
+  }
+
+  @Override
+  public String toString() {
+    return "SharedSecret[hidden]";
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/clementinesail/wire/StateCodec.java
@@ -0,0 +1,317 @@
+package org.clementinesail.wire;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.clementinesail.core.rules.RulesDelta;
+import org.clementinesail.core.rules.RulesText;
+import org.clementinesail.core.state.CallEnding;
+import org.clementinesail.core.state.CallKey;
+import org.clementinesail.core.state.Command;
+import org.clementinesail.core.state.CommandResult;
+import org.clementinesail.core.state.SystemState;
+import org.clementinesail.wire.proto.AcceptedFileImage;
+import org.clementinesail.wire.proto.Answer;
+import org.clementinesail.wire.proto.CallEndingImage;
+import org.clementinesail.wire.proto.CallKeyImage;
+import org.clementinesail.wire.proto.ClaimCall;
+import org.clementinesail.wire.proto.ClaimHeld;
+import org.clementinesail.wire.proto.ClaimImage;
+import org.clementinesail.wire.proto.CommandImage;
+import org.clementinesail.wire.proto.FinishCall;
+import org.clementinesail.wire.proto.ResultImage;
+import org.clementinesail.wire.proto.RulesAccepted;
+import org.clementinesail.wire.proto.RulesConflict;
+import org.clementinesail.wire.proto.RulesDeltaImage;
+import org.clementinesail.wire.proto.RulesHunk;
+import org.clementinesail.wire.proto.RulesStale;
+import org.clementinesail.wire.proto.StateImage;
+import org.clementinesail.wire.proto.SubmitRules;
+
+/** Converts commands, their results and the state they act on. */
+public final class StateCodec {
+  private StateCodec() {}
+
+  /**
+   * Encodes a command for the log.
+   *
+   * @param command the command
+   */
+  public static CommandImage encode(Command command) {
+    CommandImage.Builder out = CommandImage.newBuilder();
+    if (command instanceof Command.SubmitRules c) {
+      out.setSubmit(SubmitRules.newBuilder().setDelta(encode(c.delta())).setOperator(c.operator()));
+    } else if (command instanceof Command.ClaimCall c) {
+      out.setClaim(
+          ClaimCall.newBuilder()
+              .setKey(encode(c.key()))
+              .setBodyDigest(c.bodyDigest())
+              .setRequestId(c.requestId())
+              .setRunner(c.runner())
+              .setTimeMillis(c.timeMillis()));
+    } else if (command instanceof Command.FinishCall c) {
+      out.setFinish(
+          FinishCall.newBuilder()
+              .setKey(encode(c.key()))
+              .setRequestId(c.requestId())
+              .setEnding(encode(c.ending())));
+    }
+    return out.build();
+  }
+
+  /**
+   * Decodes a command from the log.
+   *
+   * @param bytes the encoded command
+   * @throws CodecException if the bytes are not a command
+   */
+  public static Command decodeCommand(byte[] bytes) {
+    try {
+      return decode(CommandImage.parseFrom(bytes));
+    } catch (InvalidProtocolBufferException e) {
+      throw new CodecException("the log holds bytes that are not a command", e);
+    }
+  }
+
+  /**
+   * Decodes a command.
+   *
+   * @param in the encoded command
+   * @throws CodecException if it is of no known kind
+   */
+  public static Command decode(CommandImage in) {
+    return switch (in.getKindCase()) {
+      case SUBMIT ->
+          new Command.SubmitRules(decode(in.getSubmit().getDelta()), in.getSubmit().getOperator());
+      case CLAIM -> {
+        ClaimCall c = in.getClaim();
+        yield new Command.ClaimCall(
+            decode(c.getKey()),
+            c.getBodyDigest(),
+            c.getRequestId(),
+            c.getRunner(),
+            c.getTimeMillis());
+      }
+      case FINISH ->
+          new Command.FinishCall(
+              decode(in.getFinish().getKey()),
+              in.getFinish().getRequestId(),
+              decode(in.getFinish().getEnding()));
+      case KIND_NOT_SET -> throw new CodecException("a command is of no known kind");
+    };
+  }
+
+  /**
+   * Encodes a result.
+   *
+   * @param result the result
+   */
+  public static ResultImage encode(CommandResult result) {
+    ResultImage.Builder out = ResultImage.newBuilder();
+    if (result instanceof CommandResult.RulesAccepted r) {
+      out.setAccepted(RulesAccepted.newBuilder().setNumber(r.number()).setDigest(r.digest()));
+    } else if (result instanceof CommandResult.RulesConflict r) {
+      out.setConflict(
+          RulesConflict.newBuilder()
+              .setNumber(r.number())
+              .setDigest(r.winnerDigest())
+              .setOperator(r.winnerOperator()));
+    } else if (result instanceof CommandResult.RulesStale r) {
+      out.setStale(RulesStale.newBuilder().setNumber(r.number()).setLatest(r.latest()));
+    } else if (result instanceof CommandResult.RulesBaseMoved r) {
+      out.setBaseMoved(r.latest());
+    } else if (result instanceof CommandResult.ClaimGranted) {
+      out.setClaimGranted(true);
+    } else if (result instanceof CommandResult.ClaimHeld r) {
+      out.setClaimHeld(ClaimHeld.newBuilder().setRequestId(r.requestId()).setRunner(r.runner()));
+    } else if (result instanceof CommandResult.ClaimEnded r) {
+      out.setClaimEnded(encode(r.ending()));
+    } else if (result instanceof CommandResult.ClaimMismatch) {
+      out.setClaimMismatch(true);
+    } else if (result instanceof CommandResult.FinishRecorded) {
+      out.setFinishRecorded(true);
+    } else {
+      out.setFinishRefused(true);
+    }
+    return out.build();
+  }
+
+  /**
+   * Decodes a result.
+   *
+   * @param in the encoded result
+   * @throws CodecException if it is of no known kind
+   */
+  public static CommandResult decode(ResultImage in) {
+    return switch (in.getKindCase()) {
+      case ACCEPTED ->
+          new CommandResult.RulesAccepted(
+              in.getAccepted().getNumber(), in.getAccepted().getDigest());
+      case CONFLICT ->
+          new CommandResult.RulesConflict(
+              in.getConflict().getNumber(),
+              in.getConflict().getDigest(),
+              in.getConflict().getOperator());
+      case STALE ->
+          new CommandResult.RulesStale(in.getStale().getNumber(), in.getStale().getLatest());
+      case BASE_MOVED -> new CommandResult.RulesBaseMoved(in.getBaseMoved());
+      case CLAIM_GRANTED -> new CommandResult.ClaimGranted();
+      case CLAIM_HELD ->
+          new CommandResult.ClaimHeld(
+              in.getClaimHeld().getRequestId(), in.getClaimHeld().getRunner());
+      case CLAIM_ENDED -> new CommandResult.ClaimEnded(decode(in.getClaimEnded()));
+      case CLAIM_MISMATCH -> new CommandResult.ClaimMismatch();
+      case FINISH_RECORDED -> new CommandResult.FinishRecorded();
+      case FINISH_REFUSED -> new CommandResult.FinishRefused();
+      case KIND_NOT_SET -> throw new CodecException("a result is of no known kind");
+    };
+  }
+
+  /**
+   * Encodes the state for a snapshot.
+   *
+   * @param image contents of the state
+   */
+  public static byte[] encode(SystemState.Image image) {
+    StateImage.Builder out =
+        StateImage.newBuilder()
+            .setRulesNumber(image.latest().number())
+            .setRulesText(image.latest().text())
+            .setClockMillis(image.clockMillis());
+    for (SystemState.AcceptedFile file : image.accepted()) {
+      out.addAccepted(
+          AcceptedFileImage.newBuilder()
+              .setNumber(file.number())
+              .setDigest(file.digest())
+              .setOperator(file.operator()));
+    }
+    for (SystemState.Claim claim : image.claims()) {
+      out.addClaims(encode(claim));
+    }
+    return out.build().toByteArray();
+  }
+
+  /**
+   * Decodes the state of a snapshot; no bytes stand for the state of a new cluster.
+   *
+   * @param bytes the encoded state
+   * @throws CodecException if the bytes are not a state
+   */
+  public static SystemState decodeState(byte[] bytes) {
+    try {
+      StateImage in = StateImage.parseFrom(bytes);
+      return SystemState.of(
+          new SystemState.Image(
+              new RulesText(in.getRulesNumber(), in.getRulesText()),
+              in.getAcceptedList().stream()
+                  .map(
+                      f ->
+                          new SystemState.AcceptedFile(
+                              f.getNumber(), f.getDigest(), f.getOperator()))
+                  .toList(),
+              in.getClaimsList().stream().map(StateCodec::decode).toList(),
+              in.getClockMillis()));
+    } catch (InvalidProtocolBufferException e) {
+      throw new CodecException("a snapshot holds bytes that are not a state", e);
+    }
+  }
+
+  /**
+   * Encodes a change of the rules.
+   *
+   * @param delta the change
+   */
+  public static RulesDeltaImage encode(RulesDelta delta) {
+    RulesDeltaImage.Builder out =
+        RulesDeltaImage.newBuilder()
+            .setBase(delta.base())
+            .setNumber(delta.number())
+            .setDigest(delta.digest());
+    for (RulesDelta.Hunk hunk : delta.hunks()) {
+      out.addHunks(
+          RulesHunk.newBuilder()
+              .setStart(hunk.start())
+              .setRemoved(hunk.removed())
+              .addAllAdded(hunk.added()));
+    }
+    return out.build();
+  }
+
+  /**
+   * Decodes a change of the rules.
+   *
+   * @param in the encoded change
+   */
+  public static RulesDelta decode(RulesDeltaImage in) {
+    return new RulesDelta(
+        in.getBase(),
+        in.getNumber(),
+        in.getDigest(),
+        in.getHunksList().stream()
+            .map(
+                h ->
+                    new RulesDelta.Hunk(
+                        h.getStart(), h.getRemoved(), h.getAddedList().stream().toList()))
+            .toList());
+  }
+
+  private static ClaimImage encode(SystemState.Claim claim) {
+    ClaimImage.Builder out =
+        ClaimImage.newBuilder()
+            .setKey(encode(claim.key()))
+            .setBodyDigest(claim.bodyDigest())
+            .setRequestId(claim.requestId())
+            .setRunner(claim.runner())
+            .setClaimedAtMillis(claim.claimedAtMillis());
+    if (claim.ending() != null) {
+      out.setEnding(encode(claim.ending()));
+    }
+    return out.build();
+  }
+
+  private static SystemState.Claim decode(ClaimImage in) {
+    return new SystemState.Claim(
+        decode(in.getKey()),
+        in.getBodyDigest(),
+        in.getRequestId(),
+        in.getRunner(),
+        in.getClaimedAtMillis(),
+        in.hasEnding() ? decode(in.getEnding()) : null);
+  }
+
+  private static CallKeyImage encode(CallKey key) {
+    return CallKeyImage.newBuilder().setWorkspace(key.workspace()).setKey(key.key()).build();
+  }
+
+  private static CallKey decode(CallKeyImage in) {
+    return new CallKey(in.getWorkspace(), in.getKey());
+  }
+
+  private static CallEndingImage encode(CallEnding ending) {
+    CallEndingImage.Builder out = CallEndingImage.newBuilder();
+    if (ending instanceof CallEnding.Answered a) {
+      out.setAnswer(
+          Answer.newBuilder()
+              .setStatus(a.status())
+              .setContentType(a.contentType())
+              .setBody(ByteString.copyFrom(a.body())));
+    } else if (ending instanceof CallEnding.Unknown) {
+      out.setUnknown(true);
+    } else {
+      out.setNotRun(true);
+    }
+    return out.build();
+  }
+
+  private static CallEnding decode(CallEndingImage in) {
+    return switch (in.getKindCase()) {
+      case ANSWER ->
+          new CallEnding.Answered(
+              in.getAnswer().getStatus(),
+              in.getAnswer().getContentType(),
+              in.getAnswer().getBody().toByteArray());
+      case UNKNOWN -> new CallEnding.Unknown();
+      case NOT_RUN -> new CallEnding.NotRun();
+      case KIND_NOT_SET -> throw new CodecException("an ending is of no known kind");
+    };
+  }
+}
