Serve the whole path thinly as separate processes

Cause: no request could be served end to end. Change: HTTP interfaces for callers, targets and operators (Undertow), engine and service clients (OkHttp, own retries off), claims of calls that may not repeat, Dagger wiring, the operator's command line, stand-ins, and a try-out site of three VMs, three engines and a shop. Before: nothing ran. Conclusion: the shape holds; tests and proofs under failure come next, none stands yet.

--- /dev/null
+++ b/bench/src/main/java/org/clementinesail/bench/BenchMain.java
@@ -0,0 +1,6 @@
+package org.clementinesail.bench;
+
+/** Runs the benchmarks. */
+public final class BenchMain {
+  private BenchMain() {}
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinesail/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks and the measurement of slopes for the capacity page. */
+package org.clementinesail.bench;
--- /dev/null
+++ b/cli/src/main/java/org/clementinesail/cli/CliMain.java
@@ -0,0 +1,244 @@
+package org.clementinesail.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.clementinesail.core.rules.NearestWord;
+import org.clementinesail.core.rules.RuleFault;
+import org.clementinesail.core.rules.RuleParse;
+import org.clementinesail.core.rules.RuleParser;
+
+/**
+ * The operator's command line.
+ *
+ * <pre>{@code
+ * clementinesail check rules.txt
+ * clementinesail submit rules.txt --vm 10.0.0.1:8300 --token-file operator.token
+ * clementinesail status --vm 10.0.0.1:8300 --token-file operator.token --json
+ * }</pre>
+ */
+public final class CliMain {
+  private static final String VERSION = "0.1.0";
+  private static final Set<String> COMMANDS =
+      new TreeSet<>(Set.of("check", "help", "status", "submit", "version"));
+  private static final String HELP =
+      """
+      usage: clementinesail COMMAND [FILE] [OPTION...]
+
+        check FILE     check a rule file without sending it
+        submit FILE    submit a rule file; may be given again after a lost answer
+        status         show VMs, replicas, the rules in force and targets
+        version        print the version
+        help           print this help
+
+      options
+        --vm ADDRESS         operators' address of a VM, IP-NUMBER:PORT; may be given more than once
+        --token-file FILE    file that holds the operator token
+        --operator NAME      who submits; the loser of a race is told (default: the user's name)
+        --json               print JSON for scripts
+
+      exit codes: 0 done, 1 refused or invalid, 2 wrong use, 3 no VM answered or could confirm
+      """;
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final OptionParser parser = new OptionParser();
+  private final OptionSpec<String> vm = parser.accepts("vm").withRequiredArg();
+  private final OptionSpec<String> tokenFile = parser.accepts("token-file").withRequiredArg();
+  private final OptionSpec<String> operator = parser.accepts("operator").withRequiredArg();
+  private final OptionSpec<Void> json = parser.accepts("json");
+  private final OptionSpec<Void> help = parser.accepts("help").forHelp();
+  private final OptionSpec<String> words = parser.nonOptions();
+
+  private CliMain(PrintStream out, PrintStream err) {
+    this.out = out;
+    this.err = err;
+  }
+
+  /**
+   * Runs one command.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(run(args, System.out, System.err).number());
+  }
+
+  /**
+   * Runs one command and returns how it ended.
+   *
+   * @param args the command line
+   * @param out takes what was asked for
+   * @param err takes messages
+   */
+  public static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+    try {
+      return new CliMain(out, err).run(args);
+    } catch (UsageException | OptionException e) {
+      err.println("clementinesail: " + e.getMessage());
+      return ExitCode.USAGE;
+    }
+  }
+
+  private ExitCode run(String[] args) throws UsageException {
+    OptionSet options = parser.parse(args);
+    List<String> given = options.valuesOf(words);
+    if (options.has(help) || given.isEmpty()) {
+      (given.isEmpty() && !options.has(help) ? err : out).print(HELP);
+      return options.has(help) ? ExitCode.OK : ExitCode.USAGE;
+    }
+    return switch (given.get(0)) {
+      case "help" -> print(HELP);
+      case "version" -> print("clementinesail " + VERSION + "\n");
+      case "check" -> check(file(given), options);
+      case "submit" -> submit(file(given), options);
+      case "status" -> status(options);
+      default ->
+          throw new UsageException(
+              "unknown command '"
+                  + given.get(0)
+                  + "', allowed are "
+                  + String.join(", ", COMMANDS)
+                  + NearestWord.clause(given.get(0), COMMANDS));
+    };
+  }
+
+  private ExitCode print(String text) {
+    out.print(text);
+    return ExitCode.OK;
+  }
+
+  private ExitCode check(String file, OptionSet options) throws UsageException {
+    RuleParse parse = RuleParser.parse(read(file));
+    if (parse instanceof RuleParse.Invalid invalid) {
+      return invalid(file, invalid, options);
+    }
+    long number = ((RuleParse.Valid) parse).rules().number();
+    int rules = ((RuleParse.Valid) parse).rules().rules().size();
+    if (options.has(json)) {
+      return print(mapper.createObjectNode().put("verdict", "valid").put("number", number) + "\n");
+    }
+    return print(file + ": valid, number " + number + ", " + rules + " rules\n");
+  }
+
+  private ExitCode invalid(String file, RuleParse.Invalid invalid, OptionSet options) {
+    if (options.has(json)) {
+      ObjectNode body = mapper.createObjectNode().put("verdict", "invalid");
+      ArrayNode faults = body.putArray("faults");
+      for (RuleFault fault : invalid.faults()) {
+        faults.addObject().put("line", fault.line()).put("problem", fault.problem());
+      }
+      out.println(body);
+    } else {
+      invalid.faults().forEach(fault -> err.println(fault.describe(file)));
+    }
+    return ExitCode.REFUSED;
+  }
+
+  private ExitCode submit(String file, OptionSet options) throws UsageException {
+    String text = read(file);
+    if (RuleParser.parse(text) instanceof RuleParse.Invalid invalid) {
+      return invalid(file, invalid, options);
+    }
+    String name =
+        options.has(operator) ? options.valueOf(operator) : System.getProperty("user.name", "?");
+    SiteClient.Answer answer;
+    try {
+      answer = site(options).submit(text, name);
+    } catch (IOException e) {
+      return unreachable(e);
+    }
+    if (options.has(json)) {
+      out.println(answer.body());
+    } else {
+      (answer.status() == 200 ? out : err).println(file + ": " + describe(answer.body()));
+    }
+    return exitCode(answer.status());
+  }
+
+  private static String describe(JsonNode body) {
+    return switch (body.path("verdict").asText()) {
+      case "accepted" -> "accepted as number " + body.path("number").asText();
+      case "conflict" ->
+          "refused: number "
+              + body.path("number").asText()
+              + " was won by "
+              + body.path("winner_operator").asText()
+              + " with the file of SHA-256 "
+              + body.path("winner_sha256").asText();
+      case "stale" ->
+          "refused: number "
+              + body.path("number").asText()
+              + " is not above the latest, "
+              + body.path("latest").asText();
+      case "invalid" -> "refused as invalid: " + body.path("faults");
+      default -> body.path("error").path("message").asText(body.toString());
+    };
+  }
+
+  private ExitCode status(OptionSet options) throws UsageException {
+    try {
+      SiteClient.Answer answer = site(options).status();
+      if (answer.status() != 200) {
+        err.println("clementinesail: " + describe(answer.body()));
+        return exitCode(answer.status());
+      }
+      return print(options.has(json) ? answer.body() + "\n" : StatusTable.render(answer.body()));
+    } catch (IOException e) {
+      return unreachable(e);
+    }
+  }
+
+  private static ExitCode exitCode(int status) {
+    return switch (status) {
+      case 200 -> ExitCode.OK;
+      case 409, 422 -> ExitCode.REFUSED;
+      case 401 -> ExitCode.USAGE;
+      default -> ExitCode.UNAVAILABLE;
+    };
+  }
+
+  private ExitCode unreachable(IOException cause) {
+    err.println("clementinesail: no VM answered: " + cause.getMessage());
+    return ExitCode.UNAVAILABLE;
+  }
+
+  private SiteClient site(OptionSet options) throws UsageException {
+    if (!options.has(vm) || !options.has(tokenFile)) {
+      throw new UsageException("this command needs --vm ADDRESS and --token-file FILE");
+    }
+    String token = read(options.valueOf(tokenFile)).strip();
+    return new SiteClient(options.valuesOf(vm), token, mapper);
+  }
+
+  private static String file(List<String> given) throws UsageException {
+    if (given.size() != 2) {
+      throw new UsageException("'" + given.get(0) + "' takes one rule file");
+    }
+    return given.get(1);
+  }
+
+  private static String read(String file) throws UsageException {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (NoSuchFileException e) {
+      throw new UsageException(file + ": the file does not exist");
+    } catch (IOException e) {
+      throw new UsageException(file + ": the file cannot be read as UTF-8 text");
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/clementinesail/cli/SiteClient.java
@@ -0,0 +1,83 @@
+package org.clementinesail.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/** Speaks to the operators' port of any VM that answers. */
+final class SiteClient {
+  private static final MediaType TEXT = MediaType.get("text/plain; charset=utf-8");
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final int UNAVAILABLE = 503;
+
+  /**
+   * An answer of a VM.
+   *
+   * @param status HTTP status
+   * @param body its JSON body
+   */
+  record Answer(int status, JsonNode body) {}
+
+  private final List<String> vms;
+  private final String token;
+  private final ObjectMapper mapper;
+  private final OkHttpClient client =
+      new OkHttpClient.Builder().connectTimeout(CONNECT_TIMEOUT).callTimeout(TIMEOUT).build();
+
+  SiteClient(List<String> vms, String token, ObjectMapper mapper) {
+    this.vms = vms;
+    this.token = token;
+    this.mapper = mapper;
+  }
+
+  Answer submit(String text, String operator) throws IOException {
+    return first(
+        new Request.Builder().header("X-Operator", operator).post(RequestBody.create(text, TEXT)),
+        "/v1/rules");
+  }
+
+  Answer status() throws IOException {
+    return first(new Request.Builder().get(), "/v1/status");
+  }
+
+  /** Asks one VM after another until one answers for certain. */
+  private Answer first(Request.Builder request, String path) throws IOException {
+    Answer doubtful = null;
+    IOException failure = new IOException("no VM was named");
+    for (String vm : vms) {
+      try {
+        Answer answer = ask(request, "http://" + vm + path);
+        if (answer.status() != UNAVAILABLE) {
+          return answer;
+        }
+        doubtful = answer;
+      } catch (IOException e) {
+        failure = e;
+      }
+    }
+    return orThrow(doubtful, failure);
+  }
+
+  private Answer ask(Request.Builder request, String url) throws IOException {
+    Request complete = request.url(url).header("Authorization", "Bearer " + token).build();
+    try (Response response = client.newCall(complete).execute()) {
+      return new Answer(response.code(), mapper.readTree(response.body().bytes()));
+    }
+  }
+
+  private static Answer orThrow(@Nullable Answer doubtful, IOException failure) throws IOException {
+    if (doubtful == null) {
+      throw failure;
+    }
+    return doubtful;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/clementinesail/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's command line. */
+package org.clementinesail.cli;
--- /dev/null
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakeEngine.java
@@ -0,0 +1,218 @@
+package org.clementinesail.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+
+/** A stand-in for an engine that holds a range of layers. */
+final class FakeEngine {
+  /** A prompt token that crashes every engine whose first layer sees it. */
+  static final String CRASH_TOKEN = "CRASH! ";
+
+  private static final int CONFLICT = 409;
+
+  /**
+   * How an engine is set up.
+   *
+   * @param name name of the target
+   * @param port port to listen at
+   * @param dataCentre data centre to announce
+   * @param model model name
+   * @param from first layer
+   * @param to one past the last layer
+   * @param modelLayers layers of the whole model
+   * @param accelerator accelerator kind to announce
+   * @param stepMillis time one step takes
+   * @param vms base URLs of the VMs' target ports
+   */
+  record Setup(
+      String name,
+      int port,
+      String dataCentre,
+      String model,
+      int from,
+      int to,
+      int modelLayers,
+      String accelerator,
+      long stepMillis,
+      List<String> vms) {}
+
+  private record Counts(int stored, int replayed) {}
+
+  private static final class Memory {
+    final List<FakeModel.LayerMemory> layers = new ArrayList<>();
+    int attempt;
+    int stored;
+    int replayed;
+  }
+
+  private final Setup setup;
+  private final Map<String, Memory> memories = new ConcurrentHashMap<>();
+  private final Map<String, Counts> history = new ConcurrentHashMap<>();
+  private final Set<String> stepping = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger running = new AtomicInteger();
+  private final Announcer announcer;
+
+  FakeEngine(Setup setup) {
+    this.setup = setup;
+    ObjectNode description =
+        FakeServer.MAPPER
+            .createObjectNode()
+            .put("kind", "engine")
+            .put("name", setup.name())
+            .put("address", "http://127.0.0.1:" + setup.port())
+            .put("data_centre", setup.dataCentre())
+            .put("model", setup.model())
+            .put("model_layers", setup.modelLayers())
+            .put("partial", false)
+            .put("accelerator", setup.accelerator())
+            .put("layers_per_second", 1_000.0)
+            .put("checks_fence", true);
+    description.putObject("layers").put("from", setup.from()).put("to", setup.to());
+    this.announcer =
+        new Announcer(setup.vms(), description, body -> body.put("running", running.get()));
+  }
+
+  Undertow start() {
+    Undertow server = FakeServer.start(setup.port(), this::handle);
+    announcer.start();
+    return server;
+  }
+
+  void leave() {
+    announcer.leave();
+  }
+
+  private void handle(HttpServerExchange exchange) throws Exception {
+    switch (exchange.getRequestPath()) {
+      case "/v1/tokenize" -> tokenize(exchange);
+      case "/v1/step" -> step(exchange);
+      case "/v1/cancel" -> cancel(exchange);
+      case "/v1/health" -> health(exchange);
+      case "/fake/runs" -> runs(exchange);
+      default -> FakeServer.reply(exchange, 404, FakeServer.MAPPER.createObjectNode());
+    }
+  }
+
+  private void tokenize(HttpServerExchange exchange) throws IOException {
+    ObjectNode reply = FakeServer.MAPPER.createObjectNode();
+    ArrayNode tokens = reply.putArray("tokens");
+    FakeModel.tokenize(FakeServer.body(exchange).path("text").asText()).forEach(tokens::add);
+    FakeServer.reply(exchange, 200, reply);
+  }
+
+  private void step(HttpServerExchange exchange) throws Exception {
+    JsonNode call = FakeServer.body(exchange);
+    String request = call.path("request").asText();
+    Memory memory = memories.computeIfAbsent(request, key -> newMemory());
+    running.incrementAndGet();
+    stepping.add(request);
+    try {
+      TimeUnit.MILLISECONDS.sleep(setup.stepMillis());
+      ObjectNode reply = run(memory, call);
+      if (reply == null) {
+        FakeServer.reply(exchange, CONFLICT, FakeServer.MAPPER.createObjectNode());
+      } else {
+        FakeServer.reply(exchange, 200, reply);
+      }
+    } finally {
+      stepping.remove(request);
+      running.decrementAndGet();
+    }
+  }
+
+  private Memory newMemory() {
+    Memory memory = new Memory();
+    for (int layer = setup.from(); layer < setup.to(); layer++) {
+      memory.layers.add(new FakeModel.LayerMemory());
+    }
+    return memory;
+  }
+
+  /** Returns the answer, or null where the step is stale or builds on positions not held. */
+  private @Nullable ObjectNode run(Memory memory, JsonNode call) {
+    synchronized (memory) {
+      int first = call.path("first_position").asInt();
+      int attempt = call.path("attempt").asInt();
+      if (attempt < memory.attempt || first > memory.layers.get(0).held()) {
+        return null;
+      }
+      memory.attempt = attempt;
+      ObjectNode reply =
+          FakeServer.MAPPER
+              .createObjectNode()
+              .put("request", call.path("request").asText())
+              .put("attempt", attempt)
+              .put("first_position", first)
+              .put("end_of_text", false);
+      ArrayNode outputs = reply.putArray("outputs");
+      long output = 0;
+      int position = first;
+      for (JsonNode input : call.path("inputs")) {
+        output = runPosition(memory, position++, input.asText());
+        if (!call.path("wants_token").asBoolean()) {
+          outputs.add(Long.toHexString(output));
+        }
+      }
+      if (call.path("wants_token").asBoolean()) {
+        reply.put("token", FakeModel.token(output));
+      }
+      return reply;
+    }
+  }
+
+  private long runPosition(Memory memory, int position, String input) {
+    if (setup.from() == 0 && input.equals(CRASH_TOKEN)) {
+      Runtime.getRuntime().halt(1);
+    }
+    long value = setup.from() == 0 ? FakeModel.embed(input) : Long.parseUnsignedLong(input, 16);
+    if (position < memory.layers.get(0).held()) {
+      memory.replayed++;
+    } else {
+      memory.stored++;
+    }
+    for (int i = 0; i < memory.layers.size(); i++) {
+      value = memory.layers.get(i).run(setup.from() + i, position, value);
+    }
+    return value;
+  }
+
+  private void cancel(HttpServerExchange exchange) throws IOException {
+    String request = FakeServer.body(exchange).path("request").asText();
+    Memory memory = memories.remove(request);
+    if (memory != null) {
+      history.put(request, new Counts(memory.stored, memory.replayed));
+    }
+    FakeServer.reply(exchange, 200, FakeServer.MAPPER.createObjectNode());
+  }
+
+  private void health(HttpServerExchange exchange) throws IOException {
+    Deque<String> request = exchange.getQueryParameters().get("request");
+    boolean runs = request != null && stepping.contains(request.getFirst());
+    FakeServer.reply(exchange, 200, FakeServer.MAPPER.createObjectNode().put("running", runs));
+  }
+
+  /** Tells how many positions were stored and replayed for each finished request. */
+  private void runs(HttpServerExchange exchange) throws IOException {
+    ObjectNode reply = FakeServer.MAPPER.createObjectNode();
+    history.forEach(
+        (request, counts) ->
+            reply
+                .putObject(request)
+                .put("stored", counts.stored())
+                .put("replayed", counts.replayed()));
+    FakeServer.reply(exchange, 200, reply);
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakeShop.java
@@ -0,0 +1,97 @@
+package org.clementinesail.fakes;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/** A stand-in for a shop service that counts what truly ran. */
+final class FakeShop {
+  /**
+   * How a shop is set up.
+   *
+   * @param name name of the target
+   * @param port port to listen at
+   * @param dataCentre data centre to announce
+   * @param service service name
+   * @param callMillis time one order takes
+   * @param vms base URLs of the VMs' target ports
+   */
+  record Setup(
+      String name,
+      int port,
+      String dataCentre,
+      String service,
+      long callMillis,
+      List<String> vms) {}
+
+  private record Order(String workspace, String body) {}
+
+  private final Setup setup;
+  private final List<Order> orders = new CopyOnWriteArrayList<>();
+  private final Announcer announcer;
+
+  FakeShop(Setup setup) {
+    this.setup = setup;
+    ObjectNode description =
+        FakeServer.MAPPER
+            .createObjectNode()
+            .put("kind", "service")
+            .put("name", setup.name())
+            .put("address", "http://127.0.0.1:" + setup.port())
+            .put("data_centre", setup.dataCentre())
+            .put("service", setup.service());
+    this.announcer = new Announcer(setup.vms(), description, body -> body.put("running", 0));
+  }
+
+  Undertow start() {
+    Undertow server = FakeServer.start(setup.port(), this::handle);
+    announcer.start();
+    return server;
+  }
+
+  void leave() {
+    announcer.leave();
+  }
+
+  private void handle(HttpServerExchange exchange) throws Exception {
+    String call = exchange.getRequestMethod() + " " + exchange.getRequestPath();
+    switch (call) {
+      case "POST /orders" -> order(exchange);
+      case "GET /stock" ->
+          FakeServer.reply(exchange, 200, FakeServer.MAPPER.createObjectNode().put("kits", 42));
+      case "GET /fake/orders" -> list(exchange);
+      default -> FakeServer.reply(exchange, 404, FakeServer.MAPPER.createObjectNode());
+    }
+  }
+
+  private void order(HttpServerExchange exchange) throws Exception {
+    String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    String workspace = exchange.getRequestHeaders().getFirst("X-Workspace");
+    int number;
+    synchronized (orders) {
+      orders.add(new Order(workspace, body));
+      number = orders.size();
+    }
+    TimeUnit.MILLISECONDS.sleep(setup.callMillis());
+    FakeServer.reply(
+        exchange,
+        201,
+        FakeServer.MAPPER
+            .createObjectNode()
+            .put("order", setup.name() + "-" + number)
+            .put("charged", true));
+  }
+
+  private void list(HttpServerExchange exchange) throws Exception {
+    ObjectNode reply = FakeServer.MAPPER.createObjectNode();
+    ArrayNode list = reply.putArray("orders");
+    orders.forEach(
+        order -> list.addObject().put("workspace", order.workspace()).put("body", order.body()));
+    FakeServer.reply(exchange, 200, reply);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/ServerMain.java
+++ b/server/src/main/java/org/clementinesail/server/ServerMain.java
@@ -1,6 +1,128 @@
 package org.clementinesail.server;
 
-/** x. */
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.clementinesail.server.settings.Settings;
+import org.clementinesail.server.settings.SettingsProblem;
+import org.clementinesail.server.settings.SettingsReader;
+import org.clementinesail.server.settings.SettingsResult;
+import org.clementinesail.server.storage.StorageException;
+import org.clementinesail.server.wiring.DaggerServerComponent;
+import org.clementinesail.server.wiring.VmServer;
+
+/**
+ * The server binary.
+ *
+ * <pre>{@code
+ * clementinesail-server --settings vm-1.yaml
+ * }</pre>
+ *
+ * <p>Exit codes: 0 after a graceful stop, 1 if the VM cannot start, 2 for a wrong command line or
+ * wrong settings.
+ */
 public final class ServerMain {
+  private static final int CANNOT_START = 1;
+  private static final int WRONG_USE = 2;
+
   private ServerMain() {}
+
+  /**
+   * Runs the server until it is told to stop.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    int status = run(args, System.out, System.err);
+    if (status != 0) {
+      System.exit(status);
+    }
+  }
+
+  private static int run(String[] args, PrintStream out, PrintStream err) {
+    OptionParser parser = new OptionParser();
+    OptionSpec<String> file =
+        parser.accepts("settings", "settings file in YAML").withRequiredArg().describedAs("FILE");
+    OptionSpec<Void> check = parser.accepts("check-settings", "check the settings file and exit");
+    OptionSpec<Void> version = parser.accepts("version", "print the version and exit");
+    OptionSpec<Void> help = parser.accepts("help", "print this help and exit").forHelp();
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+    } catch (OptionException e) {
+      err.println("clementinesail-server: " + e.getMessage() + "; see --help");
+      return WRONG_USE;
+    }
+    if (options.has(help)) {
+      return printHelp(parser, out);
+    }
+    if (options.has(version)) {
+      out.println("clementinesail-server " + VmServer.VERSION);
+      return 0;
+    }
+    if (!options.has(file)) {
+      err.println("clementinesail-server: --settings FILE is missing; see --help");
+      return WRONG_USE;
+    }
+    return runWith(options.valueOf(file), options.has(check), out, err);
+  }
+
+  private static int runWith(String name, boolean checkOnly, PrintStream out, PrintStream err) {
+    SettingsResult result = SettingsReader.read(Path.of(name));
+    if (result instanceof SettingsResult.Refused refused) {
+      for (SettingsProblem problem : refused.problems()) {
+        err.println(problem.describe(name));
+      }
+      return WRONG_USE;
+    }
+    if (checkOnly) {
+      out.println(name + ": the settings are usable");
+      return 0;
+    }
+    return serve(((SettingsResult.Usable) result).settings(), err);
+  }
+
+  private static int serve(Settings settings, PrintStream err) {
+    // Read by the log configuration before the first line is written.
+    System.setProperty("clementinesail.vm", settings.vm());
+    VmServer server = DaggerServerComponent.factory().create(settings).server();
+    CountDownLatch stopped = new CountDownLatch(1);
+    try {
+      server.start();
+    } catch (StorageException e) {
+      err.println("clementinesail-server: " + e.getMessage());
+      return CANNOT_START;
+    } catch (RuntimeException e) {
+      err.println("clementinesail-server: cannot start: " + e.getMessage());
+      return CANNOT_START;
+    }
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  server.stop();
+                  stopped.countDown();
+                },
+                "stop"));
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return 0;
+  }
+
+  private static int printHelp(OptionParser parser, PrintStream out) {
+    try {
+      parser.printHelpOn(out);
+      return 0;
+    } catch (IOException e) {
+      return CANNOT_START;
+    }
+  }
 }
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/http/CompletionRequest.java
@@ -0,0 +1,51 @@
+package org.clementinesail.server.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * The body of a chat or completions request.
+ *
+ * @param model model name
+ * @param prompt text of the prompt
+ * @param maxTokens most tokens to generate
+ * @param stream whether the answer comes as server-sent events
+ * @param chat whether it has the chat shape
+ */
+record CompletionRequest(String model, String prompt, int maxTokens, boolean stream, boolean chat) {
+  private static final int MAX_NAME_CHARS = 128;
+  private static final int MAX_PROMPT_CHARS = 1_000_000;
+  private static final int MAX_TOKENS = 32_768;
+  private static final int DEFAULT_TOKENS = 256;
+
+  static CompletionRequest read(JsonFields fields, boolean chat) throws BadRequestException {
+    if (fields.whole("n", 1, 128, 1) != 1) {
+      throw new BadRequestException("'n' must be 1; one answer a request is what is offered");
+    }
+    return new CompletionRequest(
+        fields.text("model", MAX_NAME_CHARS),
+        chat ? messages(fields.raw("messages")) : fields.text("prompt", MAX_PROMPT_CHARS),
+        (int) fields.whole("max_tokens", 1, MAX_TOKENS, DEFAULT_TOKENS),
+        fields.flag("stream"),
+        chat);
+  }
+
+  private static String messages(JsonNode messages) throws BadRequestException {
+    if (!messages.isArray() || messages.isEmpty()) {
+      throw new BadRequestException("'messages' must be a list that is not empty");
+    }
+    StringBuilder prompt = new StringBuilder();
+    for (JsonNode message : messages) {
+      JsonNode role = message.path("role");
+      JsonNode content = message.path("content");
+      if (!role.isTextual() || !content.isTextual()) {
+        throw new BadRequestException("each message must have a text 'role' and a text 'content'");
+      }
+      prompt.append(role.asText()).append(": ").append(content.asText()).append('\n');
+    }
+    if (prompt.length() > MAX_PROMPT_CHARS) {
+      throw new BadRequestException(
+          "the messages have more than " + MAX_PROMPT_CHARS + " characters");
+    }
+    return prompt.toString();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/http/CompletionShapes.java
@@ -0,0 +1,89 @@
+package org.clementinesail.server.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.clementinesail.server.requests.ModelEnding;
+import org.clementinesail.server.requests.Outcome;
+import org.jspecify.annotations.Nullable;
+
+/** JSON shapes of answers to chat and completions requests. */
+final class CompletionShapes {
+  private final ObjectMapper mapper;
+  private final CompletionRequest request;
+  private final String requestId;
+
+  CompletionShapes(ObjectMapper mapper, CompletionRequest request, String requestId) {
+    this.mapper = mapper;
+    this.request = request;
+    this.requestId = requestId;
+  }
+
+  ObjectNode chunk(String token) {
+    ObjectNode choice = mapper.createObjectNode().put("index", 0);
+    if (request.chat()) {
+      choice.putObject("delta").put("content", token);
+    } else {
+      choice.put("text", token);
+    }
+    choice.putNull("finish_reason");
+    return envelope(true, choice);
+  }
+
+  ObjectNode lastChunk(ModelEnding.Completed ending) {
+    ObjectNode choice = mapper.createObjectNode().put("index", 0);
+    if (request.chat()) {
+      choice.putObject("delta");
+    } else {
+      choice.put("text", "");
+    }
+    choice.put("finish_reason", finishReason(ending));
+    ObjectNode body = envelope(true, choice);
+    addUsage(body, ending);
+    return body;
+  }
+
+  ObjectNode whole(String text, ModelEnding.Completed ending) {
+    ObjectNode choice = mapper.createObjectNode().put("index", 0);
+    if (request.chat()) {
+      choice.putObject("message").put("role", "assistant").put("content", text);
+    } else {
+      choice.put("text", text);
+    }
+    choice.put("finish_reason", finishReason(ending));
+    ObjectNode body = envelope(false, choice);
+    addUsage(body, ending);
+    return body;
+  }
+
+  private ObjectNode envelope(boolean chunk, ObjectNode choice) {
+    ObjectNode body =
+        mapper
+            .createObjectNode()
+            .put("id", requestId)
+            .put("object", kind(chunk))
+            .put("model", request.model());
+    body.putArray("choices").add(choice);
+    return body;
+  }
+
+  private String kind(boolean chunk) {
+    if (!request.chat()) {
+      return "text_completion";
+    }
+    return chunk ? "chat.completion.chunk" : "chat.completion";
+  }
+
+  private void addUsage(ObjectNode body, ModelEnding.Completed ending) {
+    body.putObject("usage")
+        .put("prompt_tokens", ending.promptTokens())
+        .put("completion_tokens", ending.tokens())
+        .put("total_tokens", ending.promptTokens() + ending.tokens());
+    body.putObject("clementinesail")
+        .put("outcome", Outcome.COMPLETED.word())
+        .put("request_id", requestId);
+  }
+
+  private static @Nullable String finishReason(ModelEnding.Completed ending) {
+    return ending.endOfText() ? "stop" : "length";
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/http/JsonFields.java
@@ -0,0 +1,79 @@
+package org.clementinesail.server.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+
+/** Reads typed fields of a JSON object; a message names the field and what is allowed. */
+final class JsonFields {
+  private final ObjectNode object;
+
+  JsonFields(ObjectNode object) {
+    this.object = object;
+  }
+
+  String text(String name, int maxChars) throws BadRequestException {
+    JsonNode value = object.get(name);
+    if (value == null || !value.isTextual() || value.asText().isEmpty()) {
+      throw new BadRequestException("'" + name + "' must be a text that is not empty");
+    }
+    if (value.asText().length() > maxChars) {
+      throw new BadRequestException("'" + name + "' has more than " + maxChars + " characters");
+    }
+    return value.asText();
+  }
+
+  long whole(String name, long least, long most) throws BadRequestException {
+    JsonNode value = object.get(name);
+    if (value == null
+        || !value.isIntegralNumber()
+        || value.asLong() < least
+        || value.asLong() > most) {
+      throw new BadRequestException(
+          "'" + name + "' must be a whole number from " + least + " to " + most);
+    }
+    return value.asLong();
+  }
+
+  long whole(String name, long least, long most, long byDefault) throws BadRequestException {
+    return object.has(name) ? whole(name, least, most) : byDefault;
+  }
+
+  double number(String name, double least, double most) throws BadRequestException {
+    JsonNode value = object.get(name);
+    if (value == null
+        || !value.isNumber()
+        || !(value.asDouble() >= least && value.asDouble() <= most)) {
+      throw new BadRequestException(
+          "'" + name + "' must be a number from " + least + " to " + most);
+    }
+    return value.asDouble();
+  }
+
+  boolean flag(String name) throws BadRequestException {
+    JsonNode value = object.get(name);
+    if (value != null && !value.isBoolean()) {
+      throw new BadRequestException("'" + name + "' must be true or false");
+    }
+    return value != null && value.asBoolean();
+  }
+
+  Optional<JsonFields> object(String name) throws BadRequestException {
+    JsonNode value = object.get(name);
+    if (value == null) {
+      return Optional.empty();
+    }
+    if (value instanceof ObjectNode inner) {
+      return Optional.of(new JsonFields(inner));
+    }
+    throw new BadRequestException("'" + name + "' must be an object");
+  }
+
+  boolean has(String name) {
+    return object.has(name);
+  }
+
+  JsonNode raw(String name) {
+    return object.path(name);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/requests/Outcome.java
@@ -0,0 +1,22 @@
+package org.clementinesail.server.requests;
+
+/** What a caller is told of its request. */
+public enum Outcome {
+  /** The request ran and the answer is whole. */
+  COMPLETED("completed"),
+  /** The request certainly did not run and never will. */
+  NOT_RUN("not-run"),
+  /** The request may have run, in part or whole. */
+  UNKNOWN("unknown");
+
+  private final String word;
+
+  Outcome(String word) {
+    this.word = word;
+  }
+
+  /** Returns the word used in headers and bodies. */
+  public String word() {
+    return word;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/targets/ServiceClient.java
@@ -0,0 +1,155 @@
+package org.clementinesail.server.targets;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import okhttp3.Call;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import org.clementinesail.core.targets.TargetDescription;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends calls to plain services over HTTP.
+ *
+ * <p>The library's own retries and redirects are off. A call that may not be repeated gets a new
+ * connection, so that it is never lost with one that went silent, and is written to the wire at
+ * most once: a second request on the wire for the same call is refused before its first byte.
+ */
+public final class ServiceClient implements Services {
+  private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH", "DELETE");
+
+  private final OkHttpClient pooled;
+  private final OkHttpClient once;
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param connect how long the making of a connection may take
+   */
+  public ServiceClient(Duration connect) {
+    Dispatcher dispatcher = new Dispatcher();
+    dispatcher.setMaxRequests(Integer.MAX_VALUE);
+    dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+    this.pooled =
+        new OkHttpClient.Builder()
+            .dispatcher(dispatcher)
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .followSslRedirects(false)
+            .connectTimeout(connect)
+            .readTimeout(Duration.ZERO)
+            .writeTimeout(Duration.ZERO)
+            .addNetworkInterceptor(
+                chain -> {
+                  SentFlag.of(chain.request()).raise();
+                  return chain.proceed(chain.request());
+                })
+            .build();
+    this.once =
+        pooled.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS)).build();
+  }
+
+  @Override
+  public Attempt send(
+      TargetDescription target,
+      String method,
+      String path,
+      Map<String, String> headers,
+      byte[] body,
+      boolean repeatable,
+      long deadline) {
+    long left = deadline - System.nanoTime();
+    if (left <= 0) {
+      return new Attempt.NothingSent();
+    }
+    SentFlag flag = new SentFlag();
+    Request.Builder request =
+        new Request.Builder()
+            .url(target.address() + path)
+            .tag(SentFlag.class, flag)
+            .method(method, body(method, headers, body));
+    headers.forEach(request::header);
+    Call call = (repeatable ? pooled : once).newCall(request.build());
+    call.timeout().timeout(left, TimeUnit.NANOSECONDS);
+    try (Response response = call.execute()) {
+      String type = response.header("Content-Type", "");
+      return new Attempt.Answered(
+          response.code(), type == null ? "" : type, response.body().bytes());
+    } catch (IOException e) {
+      return flag.raised() ? new Attempt.MaybeSent() : new Attempt.NothingSent();
+    }
+  }
+
+  private static @Nullable RequestBody body(
+      String method, Map<String, String> headers, byte[] body) {
+    if (!METHODS_WITH_BODY.contains(method)) {
+      return null;
+    }
+    String type = headers.get("Content-Type");
+    return new OneShotBody(body, type == null ? null : MediaType.parse(type));
+  }
+
+  /** Raised once, before the first byte of a call is written to the wire. */
+  private static final class SentFlag {
+    private final AtomicBoolean sent = new AtomicBoolean();
+
+    static SentFlag of(Request request) throws IOException {
+      SentFlag flag = request.tag(SentFlag.class);
+      if (flag == null) {
+        throw new IOException("a call without its flag is not sent");
+      }
+      return flag;
+    }
+
+    void raise() throws IOException {
+      if (sent.getAndSet(true)) {
+        throw new IOException("a call is written to the wire at most once");
+      }
+    }
+
+    boolean raised() {
+      return sent.get();
+    }
+  }
+
+  /** A body that the library may not send again. */
+  private static final class OneShotBody extends RequestBody {
+    private final byte[] bytes;
+    private final @Nullable MediaType type;
+
+    OneShotBody(byte[] bytes, @Nullable MediaType type) {
+      this.bytes = bytes;
+      this.type = type;
+    }
+
+    @Override
+    public @Nullable MediaType contentType() {
+      return type;
+    }
+
+    @Override
+    public long contentLength() {
+      return bytes.length;
+    }
+
+    @Override
+    public boolean isOneShot() {
+      return true;
+    }
+
+    @Override
+    public void writeTo(BufferedSink sink) throws IOException {
+      sink.write(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/wiring/ControlModule.java
@@ -0,0 +1,77 @@
+package org.clementinesail.server.wiring;
+
+import dagger.Module;
+import dagger.Provides;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
+import javax.inject.Singleton;
+import org.clementinesail.server.control.ControlClient;
+import org.clementinesail.server.control.PeerRequests;
+import org.clementinesail.server.control.RulesKeeper;
+import org.clementinesail.server.control.RulesSubmitter;
+import org.clementinesail.server.control.SiteStatus;
+import org.clementinesail.server.settings.Settings;
+import org.clementinesail.server.targets.TargetRegistry;
+
+/** Provides the control side: peers, replicas and rules. */
+@Module
+final class ControlModule {
+  private static final int TIMER_THREADS = 2;
+
+  private ControlModule() {}
+
+  @Provides
+  @Singleton
+  static ScheduledExecutorService timer() {
+    return Executors.newScheduledThreadPool(TIMER_THREADS);
+  }
+
+  @Provides
+  @Singleton
+  static Switchboard switchboard(Settings settings) {
+    return new Switchboard(settings);
+  }
+
+  @Provides
+  @Singleton
+  static PeerRequests requests(Settings settings, Switchboard switchboard) {
+    return new PeerRequests(settings.vm(), switchboard::send, switchboard::answer);
+  }
+
+  @Provides
+  @Singleton
+  static ControlClient control(Settings settings, PeerRequests requests) {
+    return new ControlClient(requests, settings.replicaVms());
+  }
+
+  @Provides
+  @Singleton
+  static RulesKeeper rules(
+      Settings settings, PeerRequests requests, ControlClient control, Switchboard switchboard) {
+    return new RulesKeeper(
+        settings.deadlines().rulesConfirm(),
+        requests,
+        control,
+        settings.replicaVms(),
+        switchboard::reach,
+        switchboard::rulesChanged);
+  }
+
+  @Provides
+  @Singleton
+  static RulesSubmitter submitter(ControlClient control, RulesKeeper rules) {
+    return new RulesSubmitter(control, rules);
+  }
+
+  @Provides
+  @Singleton
+  static SiteStatus status(Settings settings, PeerRequests requests, TargetRegistry targets) {
+    List<String> vms =
+        Stream.concat(Stream.of(settings.vm()), settings.peers().stream().map(Settings.Peer::vm))
+            .sorted()
+            .toList();
+    return new SiteStatus(requests, vms, targets::facts);
+  }
+}
