--- /dev/null
+++ b/it/src/test/java/org/clementinesail/it/GuideStream.java
@@ -0,0 +1,130 @@
+package org.clementinesail.it;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/** A streamed model request, read on a thread of its own. */
+final class GuideStream {
+  private final Thread thread;
+  private final StringBuilder text = new StringBuilder();
+  private final List<Long> times = new ArrayList<>();
+  private volatile int status;
+  private volatile boolean done;
+  private volatile String error = "";
+
+  GuideStream(Site site, String vm, String prompt, int tokens) {
+    this.thread = new Thread(() -> read(site, vm, prompt, tokens), "guide");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void read(Site site, String vm, String prompt, int tokens) {
+    String body =
+        Site.MAPPER
+            .createObjectNode()
+            .put("model", "sail-lm")
+            .put("prompt", prompt)
+            .put("max_tokens", tokens)
+            .put("stream", true)
+            .toString();
+    Request request =
+        new Request.Builder()
+            .url("http://127.0.0.1:" + site.callerPort(vm) + "/v1/completions")
+            .header("X-Workspace", "guides")
+            .post(RequestBody.create(body, MediaType.get("application/json")))
+            .build();
+    try (Response response = site.http.newCall(request).execute()) {
+      status = response.code();
+      BufferedSource source = response.body().source();
+      while (true) {
+        String line = source.readUtf8Line();
+        if (line == null) {
+          return;
+        }
+        take(line);
+      }
+    } catch (IOException e) {
+      error = error.isEmpty() ? "connection: " + e.getMessage() : error;
+    }
+  }
+
+  private void take(String line) throws IOException {
+    if (line.equals("data: [DONE]")) {
+      done = true;
+    } else if (line.startsWith("data: ")) {
+      JsonNode event = Site.MAPPER.readTree(line.substring("data: ".length()));
+      if (event.has("error")) {
+        error = event.toString();
+        return;
+      }
+      String token = event.path("choices").path(0).path("text").asText();
+      if (!token.isEmpty()) {
+        synchronized (times) {
+          times.add(System.nanoTime());
+          text.append(token);
+        }
+      }
+    } else if (!line.isEmpty()) {
+      error = line;
+    }
+  }
+
+  void awaitTokens(int count) {
+    Site.await(count + " tokens", () -> tokens() >= count || !error.isEmpty());
+  }
+
+  int tokens() {
+    synchronized (times) {
+      return times.size();
+    }
+  }
+
+  /** Waits for the end and returns the text; fails unless the stream was marked as whole. */
+  String whole() throws InterruptedException {
+    end();
+    if (!done || status != 200) {
+      throw new AssertionError("not whole: status " + status + ", " + error + ", text " + text);
+    }
+    return text.toString();
+  }
+
+  /** Waits for the end. */
+  GuideStream end() throws InterruptedException {
+    thread.join(TimeUnit.SECONDS.toMillis(60));
+    if (thread.isAlive()) {
+      throw new AssertionError("the stream has not ended after 60 s, " + tokens() + " tokens");
+    }
+    return this;
+  }
+
+  boolean done() {
+    return done;
+  }
+
+  int status() {
+    return status;
+  }
+
+  String error() {
+    return error;
+  }
+
+  /** Returns the longest time between two tokens, in milliseconds. */
+  long longestPauseMillis() {
+    long longest = 0;
+    synchronized (times) {
+      for (int i = 1; i < times.size(); i++) {
+        longest = Math.max(longest, times.get(i) - times.get(i - 1));
+      }
+    }
+    return TimeUnit.NANOSECONDS.toMillis(longest);
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/clementinesail/it/Site.java
@@ -0,0 +1,371 @@
+package org.clementinesail.it;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** A site of packaged processes: VMs that reach each other through relays, engines and a shop. */
+final class Site {
+  static final int LAYERS = 24;
+  static final ObjectMapper MAPPER = new ObjectMapper();
+  static final String RULES =
+      """
+      route workspace=* model=sail-lm      # Gwen: guides
+      route workspace=* service=shop-app   # Tomos: orders
+      call service=shop-app path=/orders repeat=never   # Tomos: bills twice
+      call service=shop-app path=/stock repeat=safe     # Tomos: may be repeated
+      """;
+
+  private static final String TOKEN = "operator-token-of-tests";
+  private static final Duration AWAIT = Duration.ofSeconds(30);
+  private static final MediaType JSON = MediaType.get("application/json");
+
+  /** An HTTP answer. */
+  record Answer(int status, String outcome, String body) {
+    JsonNode json() {
+      try {
+        return MAPPER.readTree(body);
+      } catch (IOException e) {
+        throw new AssertionError(body, e);
+      }
+    }
+  }
+
+  /** Ports of one VM. */
+  private record Ports(int callers, int targets, int operators, int peers) {}
+
+  final Path folder;
+  final Map<String, Program> programs = new LinkedHashMap<>();
+  final OkHttpClient http =
+      new OkHttpClient.Builder()
+          .retryOnConnectionFailure(false)
+          .readTimeout(Duration.ofSeconds(60))
+          .build();
+  private final Map<String, Ports> ports = new LinkedHashMap<>();
+  private final Map<String, Integer> targetPorts = new LinkedHashMap<>();
+  private final Map<String, Relay> relays = new LinkedHashMap<>();
+  private final int vmCount;
+
+  Site(int vms) throws Exception {
+    this.vmCount = vms;
+    this.folder = Files.createTempDirectory("site");
+    Files.writeString(folder.resolve("peer.secret"), "peer-secret-of-tests\n");
+    Files.writeString(folder.resolve("operator.token"), TOKEN + "\n");
+    for (int i = 1; i <= vms; i++) {
+      ports.put("vm-" + i, new Ports(freePort(), freePort(), freePort(), freePort()));
+    }
+    for (String from : ports.keySet()) {
+      for (String to : ports.keySet()) {
+        if (!from.equals(to)) {
+          int port = freePort();
+          relays.put(from + ">" + to, new Relay(port, ports.get(to).peers()));
+          targetPorts.put(from + ">" + to, port);
+        }
+      }
+    }
+    for (String vm : ports.keySet()) {
+      Files.createDirectory(folder.resolve("data-" + vm));
+      Files.writeString(folder.resolve(vm + ".yaml"), settings(vm));
+      startVm(vm);
+    }
+  }
+
+  private String settings(String vm) {
+    Ports own = ports.get(vm);
+    StringBuilder text = new StringBuilder();
+    text.append("vm: ").append(vm).append("\ndata-centre: cardiff-a\nlisten:\n");
+    text.append("  callers: 127.0.0.1:").append(own.callers()).append('\n');
+    text.append("  targets: 127.0.0.1:").append(own.targets()).append('\n');
+    text.append("  operators: 127.0.0.1:").append(own.operators()).append('\n');
+    text.append("  peers: 127.0.0.1:").append(own.peers()).append('\n');
+    text.append("data-folder: data-").append(vm).append('\n');
+    text.append("peer-secret-file: peer.secret\noperator-token-file: operator.token\n");
+    text.append("deadlines:\n  request: 40s\n  service-call: 8s\n");
+    text.append("limits:\n  body: 64KiB\n");
+    text.append("peers:\n");
+    for (String other : ports.keySet()) {
+      if (!other.equals(vm)) {
+        text.append("  - vm: ").append(other).append("\n    address: 127.0.0.1:");
+        text.append(targetPorts.get(vm + ">" + other)).append("\n    replica: true\n");
+      }
+    }
+    return text.toString();
+  }
+
+  void startVm(String vm) throws IOException {
+    programs.put(
+        vm,
+        Program.start(vm, "server", folder, "--settings", folder.resolve(vm + ".yaml").toString()));
+  }
+
+  Program engine(String name, int from, int to, String... more) throws IOException {
+    List<String> args =
+        new ArrayList<>(
+            List.of(
+                "engine",
+                "name=" + name,
+                "port=" + port(name),
+                "from=" + from,
+                "to=" + to,
+                "layers=" + LAYERS,
+                "vms=" + targetAddresses()));
+    args.addAll(List.of(more));
+    return add(Program.start(name, "fakes", folder, args.toArray(new String[0])));
+  }
+
+  Program shop(String name, int callMillis) throws IOException {
+    return add(
+        Program.start(
+            name,
+            "fakes",
+            folder,
+            "shop",
+            "name=" + name,
+            "port=" + port(name),
+            "call-ms=" + callMillis,
+            "vms=" + targetAddresses()));
+  }
+
+  private Program add(Program program) {
+    programs.put(program.name(), program);
+    return program;
+  }
+
+  int port(String target) throws IOException {
+    Integer known = targetPorts.get(target);
+    if (known != null) {
+      return known;
+    }
+    int port = freePort();
+    targetPorts.put(target, port);
+    return port;
+  }
+
+  private String targetAddresses() {
+    return String.join(
+        ",", ports.values().stream().map(p -> "http://127.0.0.1:" + p.targets()).toList());
+  }
+
+  List<String> vms() {
+    return List.copyOf(ports.keySet());
+  }
+
+  int callerPort(String vm) {
+    return ports.get(vm).callers();
+  }
+
+  int operatorPort(String vm) {
+    return ports.get(vm).operators();
+  }
+
+  int targetPort(String vm) {
+    return ports.get(vm).targets();
+  }
+
+  /** Cuts a VM off from all others, silently and in both directions. */
+  void isolate(String vm) {
+    relays.forEach(
+        (way, relay) -> {
+          if (way.startsWith(vm + ">") || way.endsWith(">" + vm)) {
+            relay.cut();
+          }
+        });
+  }
+
+  void heal() {
+    relays.values().forEach(Relay::heal);
+  }
+
+  void silenceOpenPeerConnections() {
+    relays.values().forEach(Relay::silenceOpenConnections);
+  }
+
+  void wipe(String vm) throws IOException {
+    try (Stream<Path> files = Files.list(folder.resolve("data-" + vm))) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  Answer submit(String vm, String text, String operator) throws IOException {
+    return send(
+        new Request.Builder()
+            .url("http://127.0.0.1:" + operatorPort(vm) + "/v1/rules")
+            .header("Authorization", "Bearer " + TOKEN)
+            .header("X-Operator", operator)
+            .post(RequestBody.create(text, MediaType.get("text/plain"))));
+  }
+
+  /** Submits a file with the usual rules and one more line until a VM accepts it. */
+  void submitRules(long number, String more) {
+    String text = "number " + number + " # tests\n" + RULES + more;
+    await(
+        "file " + number + " is accepted",
+        () -> {
+          for (String vm : vms()) {
+            try {
+              if (submit(vm, text, "tests").status() == 200) {
+                return true;
+              }
+            } catch (IOException e) {
+              // The next VM is tried.
+            }
+          }
+          return false;
+        });
+  }
+
+  JsonNode status(String vm) throws IOException {
+    Answer answer =
+        send(
+            new Request.Builder()
+                .url("http://127.0.0.1:" + operatorPort(vm) + "/v1/status")
+                .header("Authorization", "Bearer " + TOKEN));
+    return answer.json();
+  }
+
+  String leader() {
+    for (String vm : vms()) {
+      try {
+        String leader = status(vm).path("control").path("leader").asText();
+        if (!leader.isEmpty()) {
+          return leader;
+        }
+      } catch (IOException e) {
+        // The next VM is asked.
+      }
+    }
+    return "";
+  }
+
+  String awaitLeader() {
+    await("a leader", () -> !leader().isEmpty());
+    return leader();
+  }
+
+  boolean ready(String vm) {
+    try {
+      Request.Builder request =
+          new Request.Builder().url("http://127.0.0.1:" + callerPort(vm) + "/readyz");
+      return send(request).status() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  void awaitReady() {
+    for (String vm : vms()) {
+      if (programs.get(vm).runs()) {
+        await(vm + " is ready", () -> ready(vm));
+      }
+    }
+  }
+
+  /** Waits until a VM knows a number of targets that are not leaving. */
+  void awaitTargets(String vm, int count) {
+    await(vm + " knows " + count + " targets", () -> aliveTargets(vm) == count);
+  }
+
+  int aliveTargets(String vm) {
+    try {
+      int alive = 0;
+      for (JsonNode target : status(vm).path("targets")) {
+        if (target.path("state").asText().equals("alive")) {
+          alive++;
+        }
+      }
+      return alive;
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  Answer order(String vm, String key, String body) throws IOException {
+    Request.Builder request =
+        new Request.Builder()
+            .url("http://127.0.0.1:" + callerPort(vm) + "/services/shop-app/orders")
+            .header("X-Workspace", "workshop")
+            .post(RequestBody.create(body, JSON));
+    if (!key.isEmpty()) {
+      request.header("Idempotency-Key", key);
+    }
+    return send(request);
+  }
+
+  /** Returns how often a shop truly ran an order with this body. */
+  int ran(String shop, String body) throws IOException {
+    Answer answer =
+        send(new Request.Builder().url("http://127.0.0.1:" + port(shop) + "/fake/orders"));
+    int count = 0;
+    for (JsonNode order : answer.json().path("orders")) {
+      if (order.path("body").asText().equals(body)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  Answer send(Request.Builder request) throws IOException {
+    try (Response response = http.newCall(request.build()).execute()) {
+      String outcome = response.header("Clementinesail-Outcome", "");
+      return new Answer(response.code(), outcome, response.body().string());
+    }
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + AWAIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - deadline > 0) {
+        throw new AssertionError("not within " + AWAIT.toSeconds() + " s: " + what);
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(25);
+      } catch (InterruptedException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  int vmCount() {
+    return vmCount;
+  }
+
+  void close() throws Exception {
+    for (Program program : programs.values()) {
+      program.kill();
+    }
+    for (Relay relay : relays.values()) {
+      relay.close();
+    }
+    try (Stream<Path> all = Files.walk(folder)) {
+      for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(path);
+      }
+    }
+  }
+}
