Blame a request for crashes only when it ran alone, and never say not run of a resend

Cause 1: a request was stopped as the crasher of engines that were killed from outside. Two kills at one position were enough, an engine dead before the step counted, and equal requests side by side shared their marks. Ruled out: the kills hitting one request twice. Change: a request in doubt runs alone on its target over all VMs (it says so, listens 50 ms, then runs), after a probe and on a new connection; only such a crash counts as second. Cause 2: a resend that could not reach the majority heard not run while the first sending ran. Change: with a key and no majority the word is unknown, and the claim that may still be accepted is given back.

--- a/core/src/main/java/org/clementinesail/core/pipeline/CrashLedger.java
+++ b/core/src/main/java/org/clementinesail/core/pipeline/CrashLedger.java
@@ -5,14 +5,17 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Remembers which requests were running where a target crashed, and which of them are to blame.
  *
- * <p>A request is blamed when two targets crashed while they ran it at the same position. A request
- * that was only beside another one gets past that position on its next target and is cleared.
- * Requests are known by a digest of workspace, model and prompt, so that a resend under a new id is
- * recognised. The class is not thread-safe.
+ * <p>A request is blamed when two targets crashed while they ran it at the same position, and ran
+ * it in isolation from others in doubt at least once. A request that was only beside another one
+ * gets past that position on its next target and is cleared. Requests are known by a digest of
+ * workspace, model and prompt, so that a resend under a new id is recognised; equal requests that
+ * run side by side share a digest, which is why a crash without isolation never counts as the
+ * second one. The class is not thread-safe.
  */
 public final class CrashLedger {
   /** How many targets a request may crash before it is stopped. */
@@ -27,14 +30,20 @@
    * @param digest digest of the request
    * @param position position that the request was at
    * @param target name and incarnation of the target
+   * @param isolated whether no other request in doubt ran there
    */
-  public record Mark(String digest, int position, String target) {}
+  public record Mark(String digest, int position, String target, boolean isolated) {}
 
   private record Place(String digest, int position) {}
 
   private static final class Entry {
     final Set<String> targets = new HashSet<>();
+    boolean isolated;
     long forgetAt;
+
+    boolean blames() {
+      return isolated && targets.size() >= MAX_CRASHES;
+    }
   }
 
   private final Map<Place, Entry> entries = new HashMap<>();
@@ -44,13 +53,13 @@
    *
    * @param mark the crash
    * @param now present time
-   * @return whether this is news
    */
-  public boolean crashed(Mark mark, long now) {
+  public void crashed(Mark mark, long now) {
     Entry entry =
         entries.computeIfAbsent(new Place(mark.digest(), mark.position()), key -> new Entry());
     entry.forgetAt = now + RETENTION_NANOS;
-    return entry.targets.add(mark.target());
+    entry.isolated |= mark.isolated();
+    entry.targets.add(mark.target());
   }
 
   /**
@@ -62,7 +71,7 @@
   public void passed(String digest, int position) {
     Place place = new Place(digest, position);
     Entry entry = entries.get(place);
-    if (entry != null && entry.targets.size() < MAX_CRASHES) {
+    if (entry != null && !entry.blames()) {
       entries.remove(place);
     }
   }
@@ -73,7 +82,7 @@
    * @param digest digest of the request
    */
   public boolean blamed(String digest) {
-    return worst(digest) >= MAX_CRASHES;
+    return entriesOf(digest).anyMatch(Entry::blames);
   }
 
   /**
@@ -82,7 +91,7 @@
    * @param digest digest of the request
    */
   public boolean inDoubt(String digest) {
-    return worst(digest) > 0;
+    return entriesOf(digest).findAny().isPresent();
   }
 
   /**
@@ -99,13 +108,9 @@
     }
   }
 
-  private int worst(String digest) {
-    int worst = 0;
-    for (Map.Entry<Place, Entry> entry : entries.entrySet()) {
-      if (entry.getKey().digest().equals(digest)) {
-        worst = Math.max(worst, entry.getValue().targets.size());
-      }
-    }
-    return worst;
+  private Stream<Entry> entriesOf(String digest) {
+    return entries.entrySet().stream()
+        .filter(entry -> entry.getKey().digest().equals(digest))
+        .map(Map.Entry::getValue);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/pipeline/DoubtTurns.java
@@ -0,0 +1,77 @@
+package org.clementinesail.core.pipeline;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Lets one VM at a time run a request in doubt on a target, so that a crash has one suspect.
+ *
+ * <p>A VM says that it waits, gives the others time to say the same, and runs if none runs and none
+ * that waits goes before it by name. Messages that take longer can only make blame less certain; a
+ * crash with two suspects blames the wrong one at worst after both were isolated before. The class
+ * is not thread-safe.
+ */
+public final class DoubtTurns {
+  /** How long a VM listens between its word that it waits and its turn, in nanoseconds. */
+  public static final long LISTEN_NANOS = 50_000_000L;
+
+  private static final long FORGET_NANOS = 10_000_000_000L;
+
+  /** What a VM does with a target. */
+  public enum State {
+    /** Waits for its turn. */
+    WAITING,
+    /** Runs a request in doubt there. */
+    RUNNING,
+    /** Neither. */
+    DONE
+  }
+
+  private record Turn(String target, State state, long at) {}
+
+  private final String self;
+  private final Map<String, Turn> others = new HashMap<>();
+
+  /**
+   * Creates the turns of a VM that has heard of no other.
+   *
+   * @param self name of this VM
+   */
+  public DoubtTurns(String self) {
+    this.self = self;
+  }
+
+  /**
+   * Notes what another VM does.
+   *
+   * @param vm name of the VM
+   * @param target name of the target
+   * @param state what it does there
+   * @param now present time in nanoseconds
+   */
+  public void heard(String vm, String target, State state, long now) {
+    if (state == State.DONE) {
+      others.remove(vm);
+    } else {
+      others.put(vm, new Turn(target, state, now));
+    }
+  }
+
+  /**
+   * Returns whether this VM, having waited, may run on a target.
+   *
+   * @param target name of the target
+   * @param now present time in nanoseconds
+   */
+  public boolean mayRun(String target, long now) {
+    others.values().removeIf(turn -> now - turn.at() > FORGET_NANOS);
+    for (Map.Entry<String, Turn> entry : others.entrySet()) {
+      Turn turn = entry.getValue();
+      boolean first = turn.state() == State.RUNNING || entry.getKey().compareTo(self) < 0;
+      if (turn.target().equals(target) && first) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/requests/CallClaims.java
+++ b/server/src/main/java/org/clementinesail/server/requests/CallClaims.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.requests;
 
 import java.util.UUID;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.state.CallEnding;
 import org.clementinesail.core.state.CallKey;
@@ -13,6 +14,7 @@
 /** Claims calls that may not be repeated, on a majority of synced replicas. */
 public final class CallClaims {
   private static final long HELD_POLL_MS = 200;
+  private static final long RELEASE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   /** What became of a claim. */
   public sealed interface Claim {}
@@ -42,6 +44,7 @@
   private final String vm;
   private final long claimNanos;
   private final int answerKeptBytes;
+  private final Executor releases;
 
   /**
    * Creates a claimer.
@@ -50,12 +53,15 @@
    * @param vm name of this VM
    * @param claimNanos how long a claim may take, in nanoseconds
    * @param answerKeptBytes longest answer that is kept for a resend
+   * @param releases gives claims back; its tasks may take a minute
    */
-  public CallClaims(ControlClient control, String vm, long claimNanos, int answerKeptBytes) {
+  public CallClaims(
+      ControlClient control, String vm, long claimNanos, int answerKeptBytes, Executor releases) {
     this.control = control;
     this.vm = vm;
     this.claimNanos = claimNanos;
     this.answerKeptBytes = answerKeptBytes;
+    this.releases = releases;
   }
 
   /**
@@ -72,9 +78,8 @@
       try {
         result = control.execute(claimCommand(call, claimId), claimDeadline(call));
       } catch (ControlException e) {
-        return new Refused(
-            CallFailure.notRun(
-                503, "no_majority", "the call could not be claimed: " + e.getMessage()));
+        abandon(call, claimId);
+        return new Refused(noMajority());
       }
       if (result instanceof CommandResult.ClaimGranted) {
         return new Granted(claimId);
@@ -119,6 +124,32 @@
     }
   }
 
+  /** Gives back a claim that may still be accepted although this request has given up. */
+  private void abandon(ServiceCall call, String claimId) {
+    Command release = new Command.FinishCall(key(call), claimId, new CallEnding.NotRun());
+    releases.execute(
+        () -> {
+          try {
+            control.execute(release, System.nanoTime() + RELEASE_NANOS);
+          } catch (ControlException e) {
+            Logger.warn("a claim is not given back, resends will hear unknown: {}", e.getMessage());
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
+  /** This sending did not run, but an earlier one with the same key may have. */
+  private static CallFailure noMajority() {
+    return new CallFailure(
+        Outcome.UNKNOWN,
+        503,
+        "no_majority",
+        "no majority of replicas can tell whether a call with this key ran before; this sending"
+            + " did not run, send it again with the same key",
+        1);
+  }
+
   private CallEnding bounded(CallEnding ending) {
     boolean large =
         ending instanceof CallEnding.Answered answered && answered.body().length > answerKeptBytes;
--- a/server/src/main/java/org/clementinesail/server/requests/CrashWatch.java
+++ b/server/src/main/java/org/clementinesail/server/requests/CrashWatch.java
@@ -2,30 +2,38 @@
 
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementinesail.core.pipeline.CrashLedger;
+import org.clementinesail.core.pipeline.DoubtTurns;
 import org.clementinesail.wire.proto.CrashMarkImage;
 import org.clementinesail.wire.proto.CrashMarks;
+import org.clementinesail.wire.proto.DoubtTurn;
 import org.clementinesail.wire.proto.Frame;
 import org.tinylog.Logger;
 
 /**
  * Shares with all VMs which requests were running where a target crashed.
  *
- * <p>Requests in doubt run one at a time on this VM until they get past the position of the crash,
+ * <p>Requests in doubt run one at a time on a target until they get past the position of the crash,
  * so that a second crash shows which of them is to blame.
  */
 public final class CrashWatch {
+  private static final long TURN_POLL_MS = 10;
+
   private final CrashLedger ledger = new CrashLedger();
+  private final DoubtTurns turns;
   private final Semaphore doubt = new Semaphore(1, true);
   private final Consumer<Frame> broadcast;
 
   /**
    * Creates a watch that has seen no crash.
    *
+   * @param vm name of this VM
    * @param broadcast sends a frame to all other VMs
    */
-  public CrashWatch(Consumer<Frame> broadcast) {
+  public CrashWatch(String vm, Consumer<Frame> broadcast) {
+    this.turns = new DoubtTurns(vm);
     this.broadcast = broadcast;
   }
 
@@ -39,7 +47,7 @@
       ledger.crashed(mark, System.nanoTime());
     }
     Logger.warn("target {} crashed under a request at position {}", mark.target(), mark.position());
-    send(image(mark.digest(), mark.position(), mark.target(), false));
+    send(image(mark, false));
   }
 
   /**
@@ -55,7 +63,7 @@
       }
       ledger.passed(digest, position);
     }
-    send(image(digest, position, "", true));
+    send(image(new CrashLedger.Mark(digest, position, "", false), true));
   }
 
   /**
@@ -72,7 +80,9 @@
           ledger.passed(mark.getDigest(), mark.getPosition());
         } else {
           ledger.crashed(
-              new CrashLedger.Mark(mark.getDigest(), mark.getPosition(), mark.getTarget()), now);
+              new CrashLedger.Mark(
+                  mark.getDigest(), mark.getPosition(), mark.getTarget(), mark.getIsolated()),
+              now);
         }
       }
     }
@@ -93,35 +103,78 @@
    * Waits for the turn of a request in doubt; returns at once for any other.
    *
    * @param digest digest of the request
+   * @param target name of the target that it is to run on
    * @return whether the turn was taken and must be given back with {@link #leave}
    * @throws InterruptedException if the thread is interrupted
    */
-  public boolean enter(String digest) throws InterruptedException {
+  public boolean enter(String digest, String target) throws InterruptedException {
     boolean inDoubt;
     synchronized (ledger) {
       inDoubt = ledger.inDoubt(digest);
     }
-    if (inDoubt) {
-      doubt.acquire();
+    if (!inDoubt) {
+      return false;
+    }
+    doubt.acquire();
+    say(target, DoubtTurn.State.WAITING);
+    TimeUnit.NANOSECONDS.sleep(DoubtTurns.LISTEN_NANOS);
+    while (!mayRun(target)) {
+      TimeUnit.MILLISECONDS.sleep(TURN_POLL_MS);
     }
-    return inDoubt;
+    say(target, DoubtTurn.State.RUNNING);
+    return true;
   }
 
-  /** Gives a turn back. */
-  public void leave() {
+  /**
+   * Gives a turn back.
+   *
+   * @param target name of the target
+   */
+  public void leave(String target) {
+    say(target, DoubtTurn.State.DONE);
     doubt.release();
   }
 
+  /**
+   * Takes another VM's word on its turn.
+   *
+   * @param vm name of the VM
+   * @param turn what it does
+   */
+  public void received(String vm, DoubtTurn turn) {
+    DoubtTurns.State state =
+        switch (turn.getState()) {
+          case WAITING -> DoubtTurns.State.WAITING;
+          case RUNNING -> DoubtTurns.State.RUNNING;
+          default -> DoubtTurns.State.DONE;
+        };
+    synchronized (turns) {
+      turns.heard(vm, turn.getTarget(), state, System.nanoTime());
+    }
+  }
+
+  private boolean mayRun(String target) {
+    synchronized (turns) {
+      return turns.mayRun(target, System.nanoTime());
+    }
+  }
+
+  private void say(String target, DoubtTurn.State state) {
+    DoubtTurn turn = DoubtTurn.newBuilder().setTarget(target).setState(state).build();
+    broadcast.accept(Frame.newBuilder().setDoubtTurn(turn).build());
+  }
+
   private void send(CrashMarkImage mark) {
     CrashMarks marks = CrashMarks.newBuilder().addAllMarks(List.of(mark)).build();
     broadcast.accept(Frame.newBuilder().setCrashMarks(marks).build());
   }
 
-  private static CrashMarkImage image(String digest, int position, String target, boolean passed) {
+  private static CrashMarkImage image(CrashLedger.Mark mark, boolean passed) {
     return CrashMarkImage.newBuilder()
-        .setDigest(digest)
-        .setPosition(position)
-        .setTarget(target)
+        .setDigest(mark.digest())
+        .setPosition(mark.position())
+        .setTarget(mark.target())
+        .setIsolated(mark.isolated())
         .setPassed(passed)
         .build();
   }
--- a/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
+++ b/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
@@ -161,22 +161,27 @@
     private @Nullable ModelEnding step(StepCall call) throws InterruptedException {
       String target = call.stage().target().name();
       int position = run.position();
-      boolean turn = crashes.enter(digest);
+      boolean inDoubt = crashes.enter(digest, target);
       try {
+        if (inDoubt && !engines.answers(call.stage().target())) {
+          // An engine that was dead before the step must not count against the request.
+          run.failed(StepFailure.UNREACHABLE);
+          return null;
+        }
         targets.started(target);
         stepped = true;
         long startedAt = System.nanoTime();
-        StepOutcome outcome = engines.step(request.model(), call);
+        StepOutcome outcome = engines.step(request.model(), call, inDoubt);
         if (outcome instanceof StepOutcome.Done done) {
           double seconds = (System.nanoTime() - startedAt) / NANOS_PER_SECOND;
           targets.succeeded(target, seconds - done.computeSeconds());
           return completed(done, position);
         }
         targets.failed(target);
-        return failed(target, position, ((StepOutcome.Failed) outcome).reason());
+        return failed(target, position, inDoubt, ((StepOutcome.Failed) outcome).reason());
       } finally {
-        if (turn) {
-          crashes.leave();
+        if (inDoubt) {
+          crashes.leave(target);
         }
       }
     }
@@ -196,7 +201,8 @@
       }
     }
 
-    private @Nullable ModelEnding failed(String target, int position, StepFailure reason) {
+    private @Nullable ModelEnding failed(
+        String target, int position, boolean isolated, StepFailure reason) {
       Logger.info(
           "target {} failed request {} at position {}: {}", target, request.id(), position, reason);
       run.failed(reason);
@@ -204,7 +210,7 @@
         return null;
       }
       String life = target + "#" + targets.incarnation(target);
-      crashes.crashed(new CrashLedger.Mark(digest, position, life));
+      crashes.crashed(new CrashLedger.Mark(digest, position, life, isolated));
       if (crashes.blamed(digest)) {
         return failed(
             502, "request_crashes_targets", "this request crashed two targets and was stopped");
--- a/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -79,15 +79,20 @@
   }
 
   @Override
-  public StepOutcome step(String model, StepCall call) throws InterruptedException {
-    StepOutcome first = attempt(clientOf(call.stage().target()), model, call);
-    boolean lostConnection =
-        first instanceof StepOutcome.Failed failed && failed.reason() == StepFailure.SILENT;
-    if (!lostConnection || !answers(call.stage().target(), call.requestId())) {
-      return first;
+  public StepOutcome step(String model, StepCall call, boolean newConnection)
+      throws InterruptedException {
+    TargetDescription target = call.stage().target();
+    Attempt first = attempt(newConnection ? fresh : clientOf(target), model, call);
+    if (!first.connectionLost()) {
+      return first.outcome();
     }
-    clients.remove(call.stage().target().name());
-    return attempt(fresh, model, call);
+    clients.remove(target.name());
+    return attempt(fresh, model, call).outcome();
+  }
+
+  @Override
+  public boolean answers(TargetDescription target) {
+    return health(target, "") != null;
   }
 
   @Override
@@ -109,7 +114,20 @@
     clientOf(stage.target()).newCall(post(stage.target(), "/v1/cancel", body)).enqueue(IGNORE);
   }
 
-  private StepOutcome attempt(OkHttpClient client, String model, StepCall call)
+  /**
+   * One attempt at a step.
+   *
+   * @param outcome what became of it
+   * @param connectionLost whether the engine answers elsewhere and does not run the step
+   */
+  private record Attempt(StepOutcome outcome, boolean connectionLost) {}
+
+  private static final Attempt SILENT =
+      new Attempt(new StepOutcome.Failed(StepFailure.SILENT), false);
+  private static final Attempt CONNECTION_LOST =
+      new Attempt(new StepOutcome.Failed(StepFailure.SILENT), true);
+
+  private Attempt attempt(OkHttpClient client, String model, StepCall call)
       throws InterruptedException {
     TargetDescription target = call.stage().target();
     Call http = client.newCall(post(target, "/v1/step", stepBody(model, call)));
@@ -118,15 +136,15 @@
     long deadline = System.nanoTime() + stepDeadline.toNanos();
     while (true) {
       try {
-        return answer.get(QUIET.toMillis(), TimeUnit.MILLISECONDS);
+        return new Attempt(answer.get(QUIET.toMillis(), TimeUnit.MILLISECONDS), false);
       } catch (TimeoutException e) {
-        boolean late = System.nanoTime() - deadline > 0;
-        if (late || !runs(target, call.requestId())) {
+        Attempt verdict = judge(target, call.requestId(), deadline);
+        if (verdict != null) {
           http.cancel();
-          return answer.isDone() ? answer.join() : new StepOutcome.Failed(StepFailure.SILENT);
+          return verdict;
         }
       } catch (ExecutionException e) {
-        return new StepOutcome.Failed(StepFailure.REJECTED);
+        return new Attempt(new StepOutcome.Failed(StepFailure.REJECTED), false);
       } catch (InterruptedException e) {
         http.cancel();
         throw e;
@@ -134,14 +152,16 @@
     }
   }
 
-  /** Returns whether the engine says, on a new connection, that it runs a step of the request. */
-  private boolean runs(TargetDescription target, String requestId) {
+  /** Returns what the silence of a step means, or null while the engine says that it runs it. */
+  private @Nullable Attempt judge(TargetDescription target, String requestId, long deadline) {
+    if (System.nanoTime() - deadline > 0) {
+      return SILENT;
+    }
     JsonNode health = health(target, requestId);
-    return health != null && health.path("running").asBoolean(false);
-  }
-
-  private boolean answers(TargetDescription target, String requestId) {
-    return health(target, requestId) != null;
+    if (health == null) {
+      return SILENT;
+    }
+    return health.path("running").asBoolean(false) ? null : CONNECTION_LOST;
   }
 
   private @Nullable JsonNode health(TargetDescription target, String requestId) {
--- a/server/src/main/java/org/clementinesail/server/targets/Engines.java
+++ b/server/src/main/java/org/clementinesail/server/targets/Engines.java
@@ -34,9 +34,17 @@
    *
    * @param model model name
    * @param call the step
+   * @param newConnection whether to use a connection that has not been used before
    * @throws InterruptedException if the thread is interrupted
    */
-  StepOutcome step(String model, StepCall call) throws InterruptedException;
+  StepOutcome step(String model, StepCall call, boolean newConnection) throws InterruptedException;
+
+  /**
+   * Returns whether an engine answers on a new connection.
+   *
+   * @param target the engine
+   */
+  boolean answers(TargetDescription target);
 
   /**
    * Splits a text into tokens.
--- a/server/src/main/java/org/clementinesail/server/wiring/Switchboard.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/Switchboard.java
@@ -112,6 +112,7 @@
       case TARGET_DIGESTS -> parts.gossip().received(vm, frame.getTargetDigests());
       case RULES_HINT -> parts.rules().hinted(frame.getRulesHint().getNumber());
       case CRASH_MARKS -> parts.crashes().received(frame.getCrashMarks());
+      case DOUBT_TURN -> parts.crashes().received(vm, frame.getDoubtTurn());
       default -> {
         // Authentication and pings end in the transport.
       }
--- a/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dagger.Module;
 import dagger.Provides;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
@@ -32,6 +33,12 @@
 
   private TrafficModule() {}
 
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, "releases");
+    thread.setDaemon(true);
+    return thread;
+  }
+
   @Provides
   @Singleton
   static TargetRegistry targets(Settings settings, RulesKeeper rules) {
@@ -50,8 +57,8 @@
 
   @Provides
   @Singleton
-  static CrashWatch crashes(Switchboard switchboard) {
-    return new CrashWatch(switchboard::broadcast);
+  static CrashWatch crashes(Settings settings, Switchboard switchboard) {
+    return new CrashWatch(settings.vm(), switchboard::broadcast);
   }
 
   @Provides
@@ -71,7 +78,8 @@
             control,
             settings.vm(),
             settings.deadlines().claim().toNanos(),
-            settings.limits().answerKeptBytes());
+            settings.limits().answerKeptBytes(),
+            Executors.newSingleThreadExecutor(TrafficModule::daemon));
     return new ServiceRunner(
         targets, new ServiceClient(settings.deadlines().connect()), claims, RANDOM);
   }
