--- /dev/null
+++ b/bench/src/main/java/org/clementinesail/bench/LogSlopes.java
@@ -0,0 +1,161 @@
+package org.clementinesail.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.clementinesail.core.replication.LogEntry;
+import org.clementinesail.core.replication.Output;
+import org.clementinesail.core.replication.ReplicaConfig;
+import org.clementinesail.core.replication.ReplicaId;
+import org.clementinesail.core.replication.Snapshot;
+import org.clementinesail.core.state.CallKey;
+import org.clementinesail.core.state.Command;
+import org.clementinesail.server.storage.ReplicaStore;
+import org.clementinesail.server.storage.StorageException;
+import org.clementinesail.wire.StateCodec;
+
+/** Slopes of the replicated log on this machine's disk. */
+final class LogSlopes {
+  private static final int[] CHANGES = {100, 1_000, 10_000};
+  private static final int[] BATCHES = {1, 10, 100};
+  private static final int BATCHES_TIMED = 100;
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private LogSlopes() {}
+
+  /** Works in a folder that is deleted afterwards. */
+  @FunctionalInterface
+  private interface InFolder {
+    double run(Path folder) throws IOException, StorageException;
+  }
+
+  private static double inFolder(InFolder work) throws IOException, StorageException {
+    Path folder = Files.createTempDirectory("slopes");
+    try {
+      return work.run(folder);
+    } finally {
+      try (Stream<Path> all = Files.walk(folder)) {
+        for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+          Files.delete(path);
+        }
+      }
+    }
+  }
+
+  private static ReplicaStore founded(Path folder) throws StorageException {
+    ReplicaStore store = ReplicaStore.open(folder);
+    ReplicaConfig config =
+        new ReplicaConfig(List.of(new ReplicaId("vm-1", store.disk())), List.of());
+    store.save(List.of(new Output.SaveSnapshot(1, new Snapshot(0, 0, config, new byte[0]))));
+    return store;
+  }
+
+  private static Output.Save claim(long index) {
+    Command command =
+        new Command.ClaimCall(
+            new CallKey("workshop-" + index % 10, "kit-order-" + index),
+            "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+            "c0a8a1b2-0000-4000-8000-" + index,
+            "vm-1",
+            1_764_800_000_000L + index);
+    byte[] bytes = StateCodec.encode(command).toByteArray();
+    return new Output.SaveEntries(List.of(new LogEntry(index, 1, new LogEntry.Command(bytes))));
+  }
+
+  static Slope restart() throws IOException, StorageException {
+    return Slope.measure(
+        "restart",
+        "changes in the log",
+        "ms to open the data folder",
+        changes ->
+            inFolder(
+                folder -> {
+                  fill(folder, changes);
+                  long startedAt = System.nanoTime();
+                  ReplicaStore.open(folder).close();
+                  return (System.nanoTime() - startedAt) / NANOS_PER_MILLI;
+                }),
+        CHANGES);
+  }
+
+  private static void fill(Path folder, int changes) throws StorageException {
+    try (ReplicaStore store = founded(folder)) {
+      List<Output.Save> batch = new ArrayList<>();
+      for (int i = 1; i <= changes; i++) {
+        batch.add(claim(i));
+        if (batch.size() == 50 || i == changes) {
+          store.save(batch);
+          batch.clear();
+        }
+      }
+    }
+  }
+
+  static Slope claimsPerSecond() throws IOException, StorageException {
+    return Slope.measure(
+        "claims-per-second",
+        "claims that wait together",
+        "claims saved a second on one replica",
+        size ->
+            inFolder(
+                folder -> {
+                  try (ReplicaStore store = founded(folder)) {
+                    long startedAt = System.nanoTime();
+                    saveBatches(store, size);
+                    double seconds = (System.nanoTime() - startedAt) / NANOS_PER_SECOND;
+                    return BATCHES_TIMED * size / seconds;
+                  }
+                }),
+        BATCHES);
+  }
+
+  static Slope syncsPerBatch() throws IOException, StorageException {
+    return Slope.measure(
+        "syncs-per-claim",
+        "claims that wait together",
+        "syncs for each claim",
+        size ->
+            inFolder(
+                folder -> {
+                  try (ReplicaStore store = founded(folder)) {
+                    long before = store.syncs();
+                    saveBatches(store, size);
+                    return (store.syncs() - before) / (double) (BATCHES_TIMED * size);
+                  }
+                }),
+        BATCHES);
+  }
+
+  static Slope bytesPerClaim() throws IOException, StorageException {
+    return Slope.measure(
+        "claim-bytes",
+        "claims that wait together",
+        "bytes written for each claim",
+        size ->
+            inFolder(
+                folder -> {
+                  try (ReplicaStore store = founded(folder)) {
+                    long before = store.bytesWritten();
+                    saveBatches(store, size);
+                    return (store.bytesWritten() - before) / (double) (BATCHES_TIMED * size);
+                  }
+                }),
+        BATCHES);
+  }
+
+  private static void saveBatches(ReplicaStore store, int size) throws StorageException {
+    long index = 1;
+    for (int i = 0; i < BATCHES_TIMED; i++) {
+      List<Output.Save> batch = new ArrayList<>();
+      for (int j = 0; j < size; j++) {
+        batch.add(claim(index++));
+      }
+      store.save(batch);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinesail/bench/Slope.java
@@ -0,0 +1,72 @@
+package org.clementinesail.bench;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.clementinesail.server.storage.StorageException;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+
+/**
+ * Points of one measurement against a size, and the line through the first and the last of them.
+ *
+ * @param name short name, used for the plot's file
+ * @param x what is varied, with its unit
+ * @param y what is measured, with its unit
+ * @param points the points in rising order of size, two at least
+ */
+record Slope(String name, String x, String y, List<Point> points) {
+
+  /**
+   * One point.
+   *
+   * @param size the size
+   * @param value the measured value
+   */
+  record Point(double size, double value) {}
+
+  /** Measures one value at a size. */
+  @FunctionalInterface
+  interface Measure {
+    double at(int size) throws IOException, StorageException;
+  }
+
+  static Slope measure(String name, String x, String y, Measure measure, int... sizes)
+      throws IOException, StorageException {
+    List<Point> points = new ArrayList<>();
+    for (int size : sizes) {
+      points.add(new Point(size, measure.at(size)));
+    }
+    return new Slope(name, x, y, points);
+  }
+
+  double perUnit() {
+    Point first = points.get(0);
+    Point last = points.get(points.size() - 1);
+    return (last.value() - first.value()) / (last.size() - first.size());
+  }
+
+  String describe() {
+    StringBuilder out = new StringBuilder();
+    out.append(String.format(Locale.ROOT, "%s: %s against %s%n", name, y, x));
+    for (Point point : points) {
+      out.append(String.format(Locale.ROOT, "  %10.0f  %14.3f%n", point.size(), point.value()));
+    }
+    out.append(String.format(Locale.ROOT, "  slope %.6f a unit%n", perUnit()));
+    return out.toString();
+  }
+
+  void plot(Path folder) throws IOException {
+    XYChart chart =
+        new XYChartBuilder().width(640).height(400).title(name).xAxisTitle(x).yAxisTitle(y).build();
+    chart.addSeries(
+        name,
+        points.stream().mapToDouble(Point::size).toArray(),
+        points.stream().mapToDouble(Point::value).toArray());
+    BitmapEncoder.saveBitmap(
+        chart, folder.resolve(name).toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+}
