--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -32,7 +32,7 @@
  * <p>All inputs that wait are taken together and share one sync.
  */
 public final class ReplicaDriver implements AutoCloseable {
-  private static final long TICK_MS = 10;
+  private static final long TICK_MS = 30;
   private static final int MAX_BATCH = 512;
   private static final long ENTRIES_PER_SNAPSHOT = 1_000;
 
