Choose chains by the requests they hold, and measure it against the bound

A step in flight says little about a request that stays on its chain for 200 tokens, and nothing about the other VMs' requests. Change: own requests times the number of VMs, plus what reports say waits there. The bound is a maximum flow through the layers.

--- /dev/null
+++ b/bench/src/main/java/org/clementinesail/bench/Policies.java
@@ -0,0 +1,80 @@
+package org.clementinesail.bench;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.clementinesail.core.routing.ChainPlanner;
+import org.clementinesail.core.routing.ModelPool;
+import org.clementinesail.core.routing.ObservedLoad;
+import org.clementinesail.core.routing.Stage;
+import org.clementinesail.core.routing.TargetScore;
+import org.clementinesail.core.targets.LayerRange;
+import org.clementinesail.core.targets.TargetFact;
+
+/** The policy of the product, and the baselines that it is compared with. */
+final class Policies {
+  private Policies() {}
+
+  private static List<Stage> plan(ChainPlanner planner, ModelPool pool, long now) {
+    LayerRange all = new LayerRange(0, pool.modelLayers());
+    return planner
+        .plan(pool, all, Set.of(), null, now)
+        .orElseThrow(() -> new IllegalStateException("the engines do not cover the layers"));
+  }
+
+  /** Draws any chain, each engine as likely as another of its layers. */
+  static SteppedPool.PolicyFactory random(long seed) {
+    return vm -> {
+      Random random = new Random(seed + vm);
+      ChainPlanner planner = new ChainPlanner((t, layers, now) -> random.nextDouble(), random);
+      return (pool, now) -> plan(planner, pool, now);
+    };
+  }
+
+  /** Takes the engines with the least reported load. */
+  static SteppedPool.PolicyFactory leastReported(long seed) {
+    return vm -> {
+      TargetScore byReport = (target, layers, now) -> (1 + reported(target)) * layers;
+      ChainPlanner planner = new ChainPlanner(byReport, new Random(seed + vm));
+      return (pool, now) -> plan(planner, pool, now);
+    };
+  }
+
+  private static double reported(TargetFact target) {
+    return target.load().running() + target.load().queued();
+  }
+
+  /** The policy of the product. */
+  static SteppedPool.PolicyFactory product(long seed) {
+    return vm -> new Product(new Random(seed + vm));
+  }
+
+  private static final class Product implements SteppedPool.Policy {
+    private final ObservedLoad observed = new ObservedLoad(SteppedPool.VMS);
+    private final ChainPlanner planner;
+
+    Product(Random random) {
+      this.planner = new ChainPlanner(observed, random);
+    }
+
+    @Override
+    public List<Stage> choose(ModelPool pool, long now) {
+      return plan(planner, pool, now);
+    }
+
+    @Override
+    public void assigned(List<Stage> chain) {
+      chain.forEach(stage -> observed.assigned(stage.target().name()));
+    }
+
+    @Override
+    public void released(List<Stage> chain) {
+      chain.forEach(stage -> observed.released(stage.target().name()));
+    }
+
+    @Override
+    public void stepFinished(String target, double overheadSeconds) {
+      observed.overhead(target, overheadSeconds);
+    }
+  }
+}
--- a/core/src/main/java/org/clementinesail/core/routing/ObservedLoad.java
+++ b/core/src/main/java/org/clementinesail/core/routing/ObservedLoad.java
@@ -7,19 +7,21 @@
 import org.clementinesail.core.targets.TargetLoad;
 
 /**
- * What this VM itself has seen of each target: requests in flight and round trips.
+ * What this VM itself knows of each target: the work it has there and the time lost on the way.
  *
- * <p>The class is not thread-safe.
+ * <p>Other VMs are taken to have as much work there as this one, since the balancer spreads
+ * requests evenly; load reports add what waits at the target, the less the older they are. The
+ * class is not thread-safe.
  */
 public final class ObservedLoad implements TargetScore {
   private static final double REPORT_HALF_LIFE_SECONDS = 2.0;
-  private static final double ROUND_TRIP_WEIGHT = 0.1;
+  private static final double OVERHEAD_WEIGHT = 0.1;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double SERVICE_CALLS_PER_SECOND = 100;
 
   private static final class Seen {
-    int inFlight;
-    double roundTripSeconds;
+    int assigned;
+    double overheadSeconds;
   }
 
   private final Map<String, Seen> seen = new HashMap<>();
@@ -35,35 +37,32 @@
   }
 
   /**
-   * Notes that work was sent to a target.
+   * Notes that a request has taken a target into its chain, or a call is sent to it.
    *
    * @param target name of the target
    */
-  public void started(String target) {
-    seen(target).inFlight++;
+  public void assigned(String target) {
+    seen(target).assigned++;
   }
 
   /**
-   * Notes that work has come back from a target.
+   * Notes that a request or call is done with a target.
    *
    * @param target name of the target
-   * @param overheadSeconds time spent on the way rather than on the work, as far as it is known
    */
-  public void finished(String target, double overheadSeconds) {
-    Seen entry = seen(target);
-    entry.inFlight--;
-    entry.roundTripSeconds +=
-        ROUND_TRIP_WEIGHT * (Math.max(0, overheadSeconds) - entry.roundTripSeconds);
+  public void released(String target) {
+    seen(target).assigned--;
   }
 
   /**
-   * Returns how many pieces of work of this VM a target has.
+   * Notes how much time a piece of work lost on the way and in queues.
    *
    * @param target name of the target
+   * @param seconds the time, without the work itself
    */
-  public int inFlight(String target) {
-    Seen entry = seen.get(target);
-    return entry == null ? 0 : entry.inFlight;
+  public void overhead(String target, double seconds) {
+    Seen entry = seen(target);
+    entry.overheadSeconds += OVERHEAD_WEIGHT * (Math.max(0, seconds) - entry.overheadSeconds);
   }
 
   /**
@@ -73,7 +72,7 @@
    */
   public void forget(String target) {
     Seen entry = seen.get(target);
-    if (entry != null && entry.inFlight == 0) {
+    if (entry != null && entry.assigned == 0) {
       seen.remove(target);
     }
   }
@@ -81,17 +80,16 @@
   @Override
   public double seconds(TargetFact target, int layers, long now) {
     Seen entry = seen.get(target.name());
-    int own = entry == null ? 0 : entry.inFlight;
-    double roundTrip = entry == null ? 0 : entry.roundTripSeconds;
-    double ahead = own + reportedByOthers(target.load(), own, now);
-    return roundTrip + (1 + ahead) * layers / rate(target.description());
+    int own = entry == null ? 0 : entry.assigned;
+    double overhead = entry == null ? 0 : entry.overheadSeconds;
+    double ahead = (double) own * vms + waiting(target.load(), now);
+    return overhead + (1 + ahead) * layers / rate(target.description());
   }
 
-  private double reportedByOthers(TargetLoad load, int own, long now) {
+  private static double waiting(TargetLoad load, long now) {
     double age = Math.max(0, now - load.reportedAt()) / NANOS_PER_SECOND;
     double trust = Math.pow(0.5, age / REPORT_HALF_LIFE_SECONDS);
-    double others = Math.max(0, load.running() + load.queued() - own);
-    return trust * others + (1 - trust) * own * (vms - 1);
+    return trust * (load.running() + load.queued());
   }
 
   private static double rate(TargetDescription target) {
--- a/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
+++ b/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
@@ -138,7 +138,10 @@
     }
 
     void cancel() {
-      run.stagesUsed().forEach(stage -> engines.cancel(stage, request.id()));
+      for (Stage stage : run.stagesUsed()) {
+        engines.cancel(stage, request.id());
+        targets.released(stage.target().name());
+      }
     }
 
     private void replace(LayerRange layers) throws InterruptedException {
@@ -151,6 +154,9 @@
         }
       }
       if (stages.isPresent()) {
+        stages.get().stream()
+            .filter(stage -> !run.stagesUsed().contains(stage))
+            .forEach(stage -> targets.assigned(stage.target().name()));
         run.useReplacement(stages.get());
       } else {
         run.forgetExclusions();
@@ -168,7 +174,6 @@
           run.failed(StepFailure.UNREACHABLE);
           return null;
         }
-        targets.started(target);
         stepped = true;
         long startedAt = System.nanoTime();
         StepOutcome outcome = engines.step(request.model(), call, inDoubt);
--- a/server/src/main/java/org/clementinesail/server/requests/ServiceRunner.java
+++ b/server/src/main/java/org/clementinesail/server/requests/ServiceRunner.java
@@ -120,7 +120,7 @@
   }
 
   private Attempt send(ServiceCall call, TargetDescription target, boolean repeatable) {
-    targets.started(target.name());
+    targets.assigned(target.name());
     Attempt attempt =
         services.send(
             target,
@@ -130,6 +130,7 @@
             call.body(),
             repeatable,
             call.deadline());
+    targets.released(target.name());
     if (attempt instanceof Attempt.Answered) {
       targets.succeeded(target.name(), 0);
     } else {
--- a/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
@@ -224,12 +224,21 @@
   }
 
   /**
-   * Notes that work was sent to a target.
+   * Notes that a request has taken a target into its chain, or a call is sent to it.
    *
    * @param target name of the target
    */
-  public synchronized void started(String target) {
-    observed.started(target);
+  public synchronized void assigned(String target) {
+    observed.assigned(target);
+  }
+
+  /**
+   * Notes that a request or call is done with a target.
+   *
+   * @param target name of the target
+   */
+  public synchronized void released(String target) {
+    observed.released(target);
   }
 
   /**
@@ -239,7 +248,7 @@
    * @param overheadSeconds time spent on the way
    */
   public synchronized void succeeded(String target, double overheadSeconds) {
-    observed.finished(target, overheadSeconds);
+    observed.overhead(target, overheadSeconds);
     outliers.succeeded(target, System.nanoTime());
   }
 
@@ -249,7 +258,6 @@
    * @param target name of the target
    */
   public synchronized void failed(String target) {
-    observed.finished(target, 0);
     outliers.failed(target, System.nanoTime());
   }
 
