--- a/bench/src/main/java/org/clementinesail/bench/MetricSlopes.java
+++ b/bench/src/main/java/org/clementinesail/bench/MetricSlopes.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.util.Map;
 import org.clementinesail.core.rules.Rule.Priority;
 import org.clementinesail.server.http.RequestMetrics;
 import org.clementinesail.server.requests.Outcome;
@@ -25,7 +26,7 @@
   }
 
   private static RequestMetrics filled(int workspaces) {
-    RequestMetrics metrics = new RequestMetrics(new MetricRegistry());
+    RequestMetrics metrics = new RequestMetrics(new MetricRegistry(), Map::of);
     for (int i = 0; i < workspaces; i++) {
       String workspace = "w" + i;
       for (int sample = 1; sample <= SAMPLES; sample++) {
--- a/server/src/main/java/org/clementinesail/server/http/RequestMetrics.java
+++ b/server/src/main/java/org/clementinesail/server/http/RequestMetrics.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 import org.clementinesail.core.rules.Rule.Priority;
 import org.clementinesail.server.requests.Outcome;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
@@ -21,14 +23,18 @@
 
   private final MetricRegistry registry;
   private final Set<String> workspaces = ConcurrentHashMap.newKeySet();
+  private final Supplier<Map<String, Double>> tokenBounds;
+  private final LongAdder tokens = new LongAdder();
 
   /**
    * Creates metrics.
    *
    * @param registry holds them
+   * @param tokenBounds largest flow of tokens a second for each model
    */
-  public RequestMetrics(MetricRegistry registry) {
+  public RequestMetrics(MetricRegistry registry, Supplier<Map<String, Double>> tokenBounds) {
     this.registry = registry;
+    this.tokenBounds = tokenBounds;
   }
 
   /** Returns the registry that holds the metrics. */
@@ -44,6 +50,7 @@
    * @param nanos the time in nanoseconds
    */
   public void firstToken(String workspace, Priority priority, long nanos) {
+    tokens.increment();
     timer("first_token", workspace, priority).update(nanos, TimeUnit.NANOSECONDS);
   }
 
@@ -55,6 +62,7 @@
    * @param nanos the time in nanoseconds
    */
   public void betweenTokens(String workspace, Priority priority, long nanos) {
+    tokens.increment();
     timer("between_tokens", workspace, priority).update(nanos, TimeUnit.NANOSECONDS);
   }
 
@@ -87,6 +95,12 @@
                   .append(counter.getCount())
                   .append('\n');
             });
+    line(out, "tokens_total", "", tokens.sum());
+    tokenBounds
+        .get()
+        .forEach(
+            (model, bound) ->
+                line(out, "bound_tokens_per_second", "model=\"" + plain(model) + "\"", bound));
     registry.getGauges().forEach((name, gauge) -> line(out, name, "", gauge.getValue()));
     for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
       summary(out, entry.getKey(), entry.getValue());
@@ -130,10 +144,14 @@
   }
 
   private String bounded(String workspace) {
-    String plain = workspace.replace('.', '_').replace('"', '_').replace('\\', '_');
+    String plain = plain(workspace);
     if (workspaces.contains(plain)) {
       return plain;
     }
     return workspaces.size() < MAX_WORKSPACES && workspaces.add(plain) ? plain : OTHERS;
   }
+
+  private static String plain(String name) {
+    return name.replace('.', '_').replace('"', '_').replace('\\', '_');
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.routing.ChainPlanner;
+import org.clementinesail.core.routing.FlowBound;
 import org.clementinesail.core.routing.ModelPool;
 import org.clementinesail.core.routing.ObservedLoad;
 import org.clementinesail.core.routing.OutlierGuard;
@@ -172,6 +174,13 @@
     return pool == null ? 0 : pool.modelLayers();
   }
 
+  /** Returns the largest flow of tokens a second that the engines of each model can carry. */
+  public synchronized Map<String, Double> tokenBounds() {
+    Map<String, Double> bounds = new TreeMap<>();
+    models.forEach((model, pool) -> bounds.put(model, FlowBound.tokensPerSecond(pool)));
+    return bounds;
+  }
+
   /**
    * Plans stages for layers of a model.
    *
--- a/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
@@ -92,8 +92,8 @@
 
   @Provides
   @Singleton
-  static RequestMetrics metrics() {
-    return new RequestMetrics(new MetricRegistry());
+  static RequestMetrics metrics(TargetRegistry targets) {
+    return new RequestMetrics(new MetricRegistry(), targets::tokenBounds);
   }
 
   @Provides
