Send a repeatable call on a new connection when an open one went silent

Cause: a repeatable call waited its whole deadline on a connection that had lost its path, and had nothing left to retry with. Change: each attempt gets an equal share of the time left, and retries use a new connection. Also new as process tests: a VM frozen while it holds a claim, and engine connections gone silent. The retry's test was written with its change; it was not run without it.

--- a/fakes/src/main/java/org/clementinesail/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakeEngine.java
@@ -28,6 +28,7 @@
    *
    * @param name name of the target
    * @param port port to listen at
+   * @param announcedPort port to announce, as that of a relay
    * @param dataCentre data centre to announce
    * @param model model name
    * @param from first layer
@@ -40,6 +41,7 @@
   record Setup(
       String name,
       int port,
+      int announcedPort,
       String dataCentre,
       String model,
       int from,
@@ -72,7 +74,7 @@
             .createObjectNode()
             .put("kind", "engine")
             .put("name", setup.name())
-            .put("address", "http://127.0.0.1:" + setup.port())
+            .put("address", "http://127.0.0.1:" + setup.announcedPort())
             .put("data_centre", setup.dataCentre())
             .put("model", setup.model())
             .put("model_layers", setup.modelLayers())
--- a/fakes/src/main/java/org/clementinesail/fakes/FakeShop.java
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakeShop.java
@@ -16,6 +16,7 @@
    *
    * @param name name of the target
    * @param port port to listen at
+   * @param announcedPort port to announce, as that of a relay
    * @param dataCentre data centre to announce
    * @param service service name
    * @param callMillis time one order takes
@@ -24,6 +25,7 @@
   record Setup(
       String name,
       int port,
+      int announcedPort,
       String dataCentre,
       String service,
       long callMillis,
@@ -42,7 +44,7 @@
             .createObjectNode()
             .put("kind", "service")
             .put("name", setup.name())
-            .put("address", "http://127.0.0.1:" + setup.port())
+            .put("address", "http://127.0.0.1:" + setup.announcedPort())
             .put("data_centre", setup.dataCentre())
             .put("service", setup.service());
     this.announcer = new Announcer(setup.vms(), description, body -> body.put("running", 0));
--- a/fakes/src/main/java/org/clementinesail/fakes/FakesMain.java
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakesMain.java
@@ -37,6 +37,7 @@
     return new FakeEngine.Setup(
         options.getOrDefault("name", "engine"),
         number(options, "port", 9_000),
+        number(options, "announced-port", number(options, "port", 9_000)),
         options.getOrDefault("dc", "cardiff-a"),
         options.getOrDefault("model", "sail-lm"),
         number(options, "from", 0),
@@ -51,6 +52,7 @@
     return new FakeShop.Setup(
         options.getOrDefault("name", "shop"),
         number(options, "port", 9_100),
+        number(options, "announced-port", number(options, "port", 9_100)),
         options.getOrDefault("dc", "cardiff-a"),
         options.getOrDefault("service", "shop-app"),
         number(options, "call-ms", 5),
--- a/it/src/test/java/org/clementinesail/it/Site.java
+++ b/it/src/test/java/org/clementinesail/it/Site.java
@@ -134,17 +134,31 @@
     return add(Program.start(name, "fakes", folder, args.toArray(new String[0])));
   }
 
-  Program shop(String name, int callMillis) throws IOException {
-    return add(
-        Program.start(
-            name,
-            "fakes",
-            folder,
-            "shop",
-            "name=" + name,
-            "port=" + port(name),
-            "call-ms=" + callMillis,
-            "vms=" + targetAddresses()));
+  /** Returns a relay to a target; the target is to announce the relay's port. */
+  Relay relayTo(String target) throws IOException {
+    int port = freePort();
+    Relay relay = new Relay(port, port(target));
+    relays.put("to " + target, relay);
+    targetPorts.put("relay " + target, port);
+    return relay;
+  }
+
+  /** Returns the option that makes a target announce its relay. */
+  String behindRelay(String target) {
+    return "announced-port=" + targetPorts.get("relay " + target);
+  }
+
+  Program shop(String name, int callMillis, String... more) throws IOException {
+    List<String> args =
+        new ArrayList<>(
+            List.of(
+                "shop",
+                "name=" + name,
+                "port=" + port(name),
+                "call-ms=" + callMillis,
+                "vms=" + targetAddresses()));
+    args.addAll(List.of(more));
+    return add(Program.start(name, "fakes", folder, args.toArray(new String[0])));
   }
 
   private Program add(Program program) {
--- a/it/src/test/java/org/clementinesail/it/TrafficFailureTest.java
+++ b/it/src/test/java/org/clementinesail/it/TrafficFailureTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import okhttp3.Request;
 import org.clementinesail.fakes.FakeModel;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -161,6 +162,72 @@
     assertEquals(ran(body), 1);
   }
 
+  /** The VM that runs an order is frozen: the resend hears unknown; after the thaw it ran once. */
+  @Test
+  public void vmOfAnOrderIsFrozen() throws Exception {
+    site.shop("shop", 1_500);
+    site.awaitTargets("vm-1", 7);
+    site.awaitTargets("vm-2", 7);
+    String body = "{\"kits\": 6}";
+    CompletableFuture<Site.Answer> first = orderLater("vm-1", "k6", body);
+    Site.await("the order runs", () -> ran(body) == 1);
+    site.programs.get("vm-1").freeze();
+    Site.Answer resend = site.order("vm-2", "k6", body);
+    assertEquals(resend.outcome(), "unknown", resend.body());
+    site.programs.get("vm-1").thaw();
+    String told = first.get().outcome();
+    assertTrue(told.equals("completed") || told.equals("unknown"), told);
+    assertEquals(ran(body), 1);
+    Site.await("an answer for the key", () -> !later("vm-3", "k6", body).isEmpty());
+    assertEquals(ran(body), 1);
+  }
+
+  private String later(String vm, String key, String body) {
+    try {
+      return site.order(vm, key, body).outcome();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  /** Open connections to an engine go silent while new ones work: the engine is kept. */
+  @Test
+  public void openEngineConnectionsGoSilent() throws Exception {
+    Relay relay = site.relayTo("e3");
+    site.engine("e3", 0, 24, "step-ms=10", site.behindRelay("e3"));
+    for (String vm : site.vms()) {
+      site.awaitTargets(vm, 7);
+    }
+    for (String name : List.of("e0a", "e0b", "e1a", "e1b", "e2a", "e2b")) {
+      site.programs.get(name).terminate();
+    }
+    for (String vm : site.vms()) {
+      site.awaitTargets(vm, 1);
+    }
+    List<GuideStream> streams = streams(3);
+    relay.silenceOpenConnections();
+    assertAllWhole("open connections to the only engine silent", streams);
+  }
+
+  /** Open connections to a shop go silent: a call that may be repeated is sent on a new one. */
+  @Test
+  public void openServiceConnectionsGoSilent() throws Exception {
+    Relay relay = site.relayTo("shop");
+    site.shop("shop", 1, site.behindRelay("shop"));
+    site.awaitTargets("vm-1", 7);
+    assertEquals(stock().status(), 200);
+    relay.silenceOpenConnections();
+    Site.Answer again = stock();
+    assertEquals(again.status(), 200, again.body());
+  }
+
+  private Site.Answer stock() throws IOException {
+    return site.send(
+        new Request.Builder()
+            .url("http://127.0.0.1:" + site.callerPort("vm-1") + "/services/shop-app/stock")
+            .header("X-Workspace", "workshop"));
+  }
+
   /** The shop is killed while it runs an order: unknown, and it is not run on another shop. */
   @Test
   public void shopOfAnOrderIsKilled() throws Exception {
--- a/server/src/main/java/org/clementinesail/server/requests/ServiceRunner.java
+++ b/server/src/main/java/org/clementinesail/server/requests/ServiceRunner.java
@@ -82,7 +82,7 @@
       if (target.isEmpty()) {
         return new CallEnding.NotRun();
       }
-      Attempt attempt = send(call, target.get(), false);
+      Attempt attempt = send(call, target.get(), true, call.deadline());
       if (attempt instanceof Attempt.Answered a) {
         return new CallEnding.Answered(a.status(), a.contentType(), a.body());
       }
@@ -104,7 +104,7 @@
       if (target.isEmpty()) {
         break;
       }
-      Attempt attempt = send(call, target.get(), true);
+      Attempt attempt = send(call, target.get(), i > 0, attemptDeadline(call, i));
       if (attempt instanceof Attempt.Answered a
           && (a.status() != UNAVAILABLE || i == MAX_REPEATS)) {
         return new ServiceEnding.Answered(a.status(), a.contentType(), a.body(), false);
@@ -119,7 +119,8 @@
     return new ServiceEnding.Failed(sent ? lost(call) : unreachable(call));
   }
 
-  private Attempt send(ServiceCall call, TargetDescription target, boolean repeatable) {
+  private Attempt send(
+      ServiceCall call, TargetDescription target, boolean newConnection, long deadline) {
     targets.assigned(target.name());
     Attempt attempt =
         services.send(
@@ -128,8 +129,8 @@
             call.path(),
             call.headers(),
             call.body(),
-            repeatable,
-            call.deadline());
+            newConnection,
+            deadline);
     targets.released(target.name());
     if (attempt instanceof Attempt.Answered) {
       targets.succeeded(target.name(), 0);
@@ -139,6 +140,12 @@
     return attempt;
   }
 
+  /** Leaves an equal share of the time to each attempt that may follow. */
+  private static long attemptDeadline(ServiceCall call, int attempt) {
+    long now = System.nanoTime();
+    return now + (call.deadline() - now) / (MAX_REPEATS + 1 - attempt);
+  }
+
   private Optional<TargetDescription> choose(ServiceCall call, Set<String> excluded) {
     return targets.service(call.service(), excluded, call.preferredDataCentre());
   }
--- a/server/src/main/java/org/clementinesail/server/targets/ServiceClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/ServiceClient.java
@@ -29,7 +29,7 @@
   private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH", "DELETE");
 
   private final OkHttpClient pooled;
-  private final OkHttpClient once;
+  private final OkHttpClient fresh;
 
   /**
    * Creates a client without connections.
@@ -57,7 +57,7 @@
                   return response.newBuilder().removeHeader("Retry-After").build();
                 })
             .build();
-    this.once =
+    this.fresh =
         pooled.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS)).build();
   }
 
@@ -68,7 +68,7 @@
       String path,
       Map<String, String> headers,
       byte[] body,
-      boolean repeatable,
+      boolean newConnection,
       long deadline) {
     long left = deadline - System.nanoTime();
     if (left <= 0) {
@@ -81,7 +81,7 @@
             .tag(SentFlag.class, flag)
             .method(method, body(method, headers, body));
     headers.forEach(request::header);
-    Call call = (repeatable ? pooled : once).newCall(request.build());
+    Call call = (newConnection ? fresh : pooled).newCall(request.build());
     call.timeout().timeout(left, TimeUnit.NANOSECONDS);
     try (Response response = call.execute()) {
       String type = response.header("Content-Type", "");
--- a/server/src/main/java/org/clementinesail/server/targets/Services.java
+++ b/server/src/main/java/org/clementinesail/server/targets/Services.java
@@ -26,14 +26,14 @@
   }
 
   /**
-   * Sends a call once, on a connection of its own if it may not be repeated.
+   * Sends a call once.
    *
    * @param target the service's target
    * @param method HTTP method
    * @param path path and query, starting with a slash
    * @param headers headers to send
    * @param body body, possibly empty
-   * @param repeatable whether the call may run more than once
+   * @param newConnection whether to use a connection that has not been used before
    * @param deadline when to give up, in nanoseconds of the monotonic clock
    */
   Attempt send(
@@ -42,6 +42,6 @@
       String path,
       Map<String, String> headers,
       byte[] body,
-      boolean repeatable,
+      boolean newConnection,
       long deadline);
 }
--- a/server/src/test/java/org/clementinesail/server/targets/ServiceClientTest.java
+++ b/server/src/test/java/org/clementinesail/server/targets/ServiceClientTest.java
@@ -100,7 +100,7 @@
             "/orders",
             Map.of("Content-Type", "application/json"),
             method.equals("POST") ? BODY.getBytes(StandardCharsets.UTF_8) : new byte[0],
-            false,
+            true,
             System.nanoTime() + TimeUnit.SECONDS.toNanos(2));
   }
 
@@ -169,7 +169,7 @@
               "shop", "http://127.0.0.1:" + server.port(), "dc", "shop-app", null);
       Attempt attempt =
           new ServiceClient(Duration.ofSeconds(1))
-              .send(target, "POST", "/", Map.of(), new byte[1], false, System.nanoTime() - 1);
+              .send(target, "POST", "/", Map.of(), new byte[1], true, System.nanoTime() - 1);
       assertTrue(attempt instanceof Attempt.NothingSent);
       assertEquals(server.connections.get(), 0);
     }
