Ask a silent engine after 250 ms, and test the command line

Cause: recovery from a frozen engine was mostly the 400 ms before the engine is asked. Change: 250 ms. The probe keeps its 400 ms, as the target interface says.

--- /dev/null
+++ b/cli/src/test/java/org/clementinesail/cli/CliMainTest.java
@@ -0,0 +1,107 @@
+package org.clementinesail.cli;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The operator's command line: messages and exit codes. */
+public final class CliMainTest {
+  private Path folder = Path.of(".");
+
+  private record Ended(ExitCode code, String out, String err) {}
+
+  /** Writes a valid and an invalid rule file. */
+  @BeforeClass
+  public void writeFiles() throws IOException {
+    folder = Files.createTempDirectory("cli");
+    Files.writeString(folder.resolve("good"), "number 4 # Gwen\ndrain target=e1 # Gwen\n");
+    Files.writeString(folder.resolve("bad"), "number 4 # Gwen\ndrian target=e1 # Gwen\n");
+    Files.writeString(folder.resolve("token"), "0123456789abcdef");
+  }
+
+  private Ended run(String line) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    ByteArrayOutputStream err = new ByteArrayOutputStream();
+    String[] args = line.isEmpty() ? new String[0] : line.replace("@", folder + "/").split(" ");
+    ExitCode code =
+        CliMain.run(
+            args,
+            new PrintStream(out, true, StandardCharsets.UTF_8),
+            new PrintStream(err, true, StandardCharsets.UTF_8));
+    return new Ended(
+        code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+  }
+
+  /** Command line, exit code, part of the message. */
+  @DataProvider
+  public Object[][] wrongLines() {
+    return new Object[][] {
+      {"", ExitCode.USAGE, "usage: clementinesail COMMAND"},
+      {
+        "sumbit x",
+        ExitCode.USAGE,
+        "unknown command 'sumbit', allowed are check, help, status, submit, version;"
+            + " did you mean 'submit'?"
+      },
+      {"check", ExitCode.USAGE, "'check' takes one rule file"},
+      {"check a b", ExitCode.USAGE, "'check' takes one rule file"},
+      {"check @none", ExitCode.USAGE, "none: the file does not exist"},
+      {
+        "check @bad",
+        ExitCode.REFUSED,
+        "bad:2: unknown rule 'drian', allowed are call, drain, limit, number, route, want;"
+            + " did you mean 'drain'?"
+      },
+      {"submit @bad --vm 127.0.0.1:1 --token-file @token", ExitCode.REFUSED, "bad:2: unknown rule"},
+      {"submit @good", ExitCode.USAGE, "this command needs --vm ADDRESS and --token-file FILE"},
+      {
+        "status --vm 127.0.0.1:1 --token-file @none",
+        ExitCode.USAGE,
+        "none: the file does not exist"
+      },
+      {"status --vm 127.0.0.1:1 --token-file @token", ExitCode.UNAVAILABLE, "no VM answered: "},
+      {"status --wm 127.0.0.1:1", ExitCode.USAGE, "wm is not a recognized option"},
+      {"status --vm", ExitCode.USAGE, "Option vm requires an argument"},
+    };
+  }
+
+  /** Each wrong line ends with its code and says what is allowed. */
+  @Test(dataProvider = "wrongLines")
+  public void wrongLineIsExplained(String line, ExitCode code, String message) {
+    Ended ended = run(line);
+    assertEquals(ended.code(), code, ended.err());
+    assertTrue(ended.err().contains(message), ended.err());
+    assertEquals(ended.out(), "");
+  }
+
+  /** A valid file is told its number and rules, for people and for scripts. */
+  @Test
+  public void validFileIsChecked() throws IOException {
+    Ended plain = run("check @good");
+    assertEquals(plain.code(), ExitCode.OK);
+    assertTrue(plain.out().endsWith("good: valid, number 4, 1 rules\n"), plain.out());
+    Ended json = run("check @good --json");
+    assertEquals(new ObjectMapper().readTree(json.out()).path("number").asLong(), 4);
+    Ended bad = run("check @bad --json");
+    assertEquals(
+        new ObjectMapper().readTree(bad.out()).path("faults").path(0).path("line").asInt(), 2);
+  }
+
+  /** Version and help go to standard output. */
+  @Test
+  public void versionAndHelpArePrinted() {
+    assertEquals(run("version"), new Ended(ExitCode.OK, "clementinesail 0.1.0\n", ""));
+    assertTrue(run("help").out().contains("exit codes: 0 done"));
+    assertEquals(run("--help").code(), ExitCode.OK);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -40,7 +40,7 @@
  */
 public final class EngineClient implements Engines {
   private static final MediaType JSON = MediaType.get("application/json");
-  private static final Duration QUIET = Duration.ofMillis(400);
+  private static final Duration QUIET = Duration.ofMillis(250);
   private static final Duration PROBE = Duration.ofMillis(400);
   private static final int HTTP_CONFLICT = 409;
   private static final int IDLE_CONNECTIONS_PER_TARGET = 64;
