Do not cut off an answer that waits for an engine

Cause: a stream that waited 4 s for an engine to come back was closed on its next token. The HTTP library's write timeout counts the time between two writes, and 30 s by default would have cut every answer with a longer pause. Ruled out: the request's deadline (40 s) and the engine (it was back); a long call on a used connection is not hit. Change: a guard for each write breaks the connection of a caller that takes nothing, in place of that timeout. The guard itself is not proved by a test yet.

--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -108,6 +108,9 @@
    *     this replica does not lead, or lost its lead before the command was accepted
    */
   public CompletableFuture<CommandResult> propose(Command command) {
+    if (stopping) {
+      return CompletableFuture.failedFuture(new NotLeaderException(""));
+    }
     CompletableFuture<CommandResult> result = new CompletableFuture<>();
     byte[] bytes = StateCodec.encode(command).toByteArray();
     submit(
@@ -127,6 +130,9 @@
    * @return the answer; fails with {@link NotLeaderException} where this replica does not lead
    */
   public <T> CompletableFuture<T> read(Function<SystemState, T> query) {
+    if (stopping) {
+      return CompletableFuture.failedFuture(new NotLeaderException(""));
+    }
     CompletableFuture<Object> result = new CompletableFuture<>();
     submit(
         now -> {
--- a/server/src/main/java/org/clementinesail/server/http/HttpReplies.java
+++ b/server/src/main/java/org/clementinesail/server/http/HttpReplies.java
@@ -18,8 +18,15 @@
 
   private final ObjectMapper mapper;
 
-  HttpReplies(ObjectMapper mapper) {
+  private final WriteGuard guard;
+
+  HttpReplies(ObjectMapper mapper, WriteGuard guard) {
     this.mapper = mapper;
+    this.guard = guard;
+  }
+
+  WriteGuard guard() {
+    return guard;
   }
 
   ObjectMapper mapper() {
@@ -55,8 +62,12 @@
       exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
     }
     exchange.setResponseContentLength(body.length);
-    exchange.getOutputStream().write(body);
-    exchange.endExchange();
+    guard.write(
+        exchange,
+        () -> {
+          exchange.getOutputStream().write(body);
+          exchange.endExchange();
+        });
   }
 
   /** Answers with a typed failure. */
--- a/server/src/main/java/org/clementinesail/server/http/HttpServers.java
+++ b/server/src/main/java/org/clementinesail/server/http/HttpServers.java
@@ -62,7 +62,8 @@
    * @param parts what the interfaces are made of
    */
   public HttpServers(Settings settings, Parts parts) {
-    HttpReplies replies = new HttpReplies(new ObjectMapper());
+    HttpReplies replies =
+        new HttpReplies(new ObjectMapper(), new WriteGuard(settings.deadlines().callerIdle()));
     CallerApi callerApi =
         new CallerApi(
             replies,
@@ -91,7 +92,6 @@
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, idleMillis)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
             .setSocketOption(Options.READ_TIMEOUT, idleMillis)
-            .setSocketOption(Options.WRITE_TIMEOUT, idleMillis)
             .build();
     InetSocketAddress targets = settings.listen().targets();
     InetSocketAddress operators = settings.listen().operators();
--- a/server/src/main/java/org/clementinesail/server/http/ModelAnswers.java
+++ b/server/src/main/java/org/clementinesail/server/http/ModelAnswers.java
@@ -166,9 +166,16 @@
     }
 
     private void write(String data) throws IOException {
+      byte[] event = (EVENT_PREFIX + data + EVENT_END).getBytes(StandardCharsets.UTF_8);
       OutputStream out = exchange.getOutputStream();
-      out.write((EVENT_PREFIX + data + EVENT_END).getBytes(StandardCharsets.UTF_8));
-      out.flush();
+      replies
+          .guard()
+          .write(
+              exchange,
+              () -> {
+                out.write(event);
+                out.flush();
+              });
     }
   }
 }
