Let a VM join that the others' settings do not name

Cause: new VMs join while work is under way, but a VM that the others do not name got no answer: answers and statements go out on a VM's own connections, made from settings. Change: a VM says where it listens when it proves that it holds the secret, under the same proof, and the others connect back. Peers, status and the load estimate follow. Not run: the test against the code before.

--- a/bench/src/main/java/org/clementinesail/bench/Policies.java
+++ b/bench/src/main/java/org/clementinesail/bench/Policies.java
@@ -50,7 +50,7 @@
   }
 
   private static final class Product implements SteppedPool.Policy {
-    private final ObservedLoad observed = new ObservedLoad(SteppedPool.VMS);
+    private final ObservedLoad observed = new ObservedLoad(() -> SteppedPool.VMS);
     private final ChainPlanner planner;
 
     Product(Random random) {
--- a/bench/src/main/java/org/clementinesail/bench/TargetSlopes.java
+++ b/bench/src/main/java/org/clementinesail/bench/TargetSlopes.java
@@ -55,7 +55,7 @@
 
   private static double choiceNanos(int targets) {
     ModelPool pool = new ModelPool(facts(targets));
-    ChainPlanner planner = new ChainPlanner(new ObservedLoad(VMS), new Random(1));
+    ChainPlanner planner = new ChainPlanner(new ObservedLoad(() -> VMS), new Random(1));
     LayerRange all = new LayerRange(0, LAYERS);
     return Stopwatch.nanosPerCall(
         50_000,
--- a/core/src/main/java/org/clementinesail/core/routing/ObservedLoad.java
+++ b/core/src/main/java/org/clementinesail/core/routing/ObservedLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.clementinesail.core.targets.TargetDescription;
 import org.clementinesail.core.targets.TargetFact;
 import org.clementinesail.core.targets.TargetLoad;
@@ -25,14 +26,14 @@
   }
 
   private final Map<String, Seen> seen = new HashMap<>();
-  private final int vms;
+  private final IntSupplier vms;
 
   /**
    * Creates the state of a VM that has seen nothing.
    *
    * @param vms number of VMs that share the targets
    */
-  public ObservedLoad(int vms) {
+  public ObservedLoad(IntSupplier vms) {
     this.vms = vms;
   }
 
@@ -82,7 +83,7 @@
     Seen entry = seen.get(target.name());
     int own = entry == null ? 0 : entry.assigned;
     double overhead = entry == null ? 0 : entry.overheadSeconds;
-    double ahead = (double) own * vms + waiting(target.load(), now);
+    double ahead = (double) own * vms.getAsInt() + waiting(target.load(), now);
     return overhead + (1 + ahead) * layers / rate(target.description());
   }
 
--- a/it/src/test/java/org/clementinesail/it/Site.java
+++ b/it/src/test/java/org/clementinesail/it/Site.java
@@ -116,6 +116,19 @@
     return text.toString();
   }
 
+  /** Starts a VM without a replica that the others' settings do not name. */
+  String joinVm() throws IOException {
+    String vm = "vm-" + (ports.size() + 1);
+    ports.put(vm, new Ports(freePort(), freePort(), freePort(), freePort()));
+    for (String other : vms()) {
+      targetPorts.put(vm + ">" + other, ports.get(other).peers());
+    }
+    String settings = settings(vm).replace("data-folder: data-" + vm + "\n", "");
+    Files.writeString(folder.resolve(vm + ".yaml"), settings);
+    startVm(vm);
+    return vm;
+  }
+
   void startVm(String vm) throws IOException {
     programs.put(
         vm,
--- a/it/src/test/java/org/clementinesail/it/TrafficFailureTest.java
+++ b/it/src/test/java/org/clementinesail/it/TrafficFailureTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -109,6 +110,24 @@
     assertAllWhole("engine left", streams);
   }
 
+  /** A VM joins that the others' settings do not name: it gets rules and targets, and serves. */
+  @Test
+  public void vmJoins() throws Exception {
+    String joined = site.joinVm();
+    Site.await("the new VM is ready", () -> site.ready(joined));
+    site.awaitTargets(joined, 6);
+    site.submitRules(2, "");
+    site.programs.get("e1a").kill();
+    site.awaitTargets(joined, 5);
+    GuideStream stream = new GuideStream(site, joined, PROMPT, TOKENS);
+    assertAllWhole("on a VM that has joined", List.of(stream));
+    boolean listed = false;
+    for (JsonNode vm : site.status("vm-1").path("vms")) {
+      listed |= vm.path("vm").asText().equals(joined) && vm.path("rules_in_force").asLong() == 2;
+    }
+    assertTrue(listed, "vm-1 does not list the new VM under the rules in force");
+  }
+
   /** The majority of replicas is lost: targets are still learnt from any VM by every VM left. */
   @Test
   public void membershipOutlivesTheMajority() throws Exception {
--- a/server/src/main/java/org/clementinesail/server/control/SiteStatus.java
+++ b/server/src/main/java/org/clementinesail/server/control/SiteStatus.java
@@ -6,8 +6,9 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
@@ -23,20 +24,26 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final PeerRequests requests;
-  private final List<String> vms;
+  private final String self;
+  private final Supplier<Collection<String>> others;
   private final Supplier<Collection<TargetFact>> targets;
 
   /**
    * Creates a collector.
    *
+   * @param self name of this VM
    * @param requests sends requests
-   * @param vms names of all VMs
+   * @param others names of the other VMs
    * @param targets the targets known to this VM
    */
   public SiteStatus(
-      PeerRequests requests, List<String> vms, Supplier<Collection<TargetFact>> targets) {
+      String self,
+      PeerRequests requests,
+      Supplier<Collection<String>> others,
+      Supplier<Collection<TargetFact>> targets) {
+    this.self = self;
     this.requests = requests;
-    this.vms = List.copyOf(vms);
+    this.others = others;
     this.targets = targets;
   }
 
@@ -48,6 +55,8 @@
    */
   public ObjectNode collect(ObjectMapper mapper) throws InterruptedException {
     Map<String, CompletableFuture<Response>> answers = new LinkedHashMap<>();
+    Set<String> vms = new TreeSet<>(others.get());
+    vms.add(self);
     for (String vm : vms) {
       answers.put(vm, requests.send(vm, Request.newBuilder().setReadStatus(true), TIMEOUT));
     }
--- a/server/src/main/java/org/clementinesail/server/targets/TargetGossip.java
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetGossip.java
@@ -1,10 +1,12 @@
 package org.clementinesail.server.targets;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.targets.TargetFact;
 import org.clementinesail.wire.TargetCodec;
@@ -22,7 +24,7 @@
   private static final long DIGEST_MS = 1_000;
 
   private final TargetRegistry registry;
-  private final List<String> peers;
+  private final Supplier<Collection<String>> peers;
   private final BiConsumer<String, Frame> network;
   private final RandomGenerator random;
 
@@ -36,11 +38,11 @@
    */
   public TargetGossip(
       TargetRegistry registry,
-      List<String> peers,
+      Supplier<Collection<String>> peers,
       BiConsumer<String, Frame> network,
       RandomGenerator random) {
     this.registry = registry;
-    this.peers = List.copyOf(peers);
+    this.peers = peers;
     this.network = network;
     this.random = random;
   }
@@ -68,7 +70,7 @@
     }
     TargetFacts facts = TargetCodec.encode(outgoing, System.nanoTime());
     Frame frame = Frame.newBuilder().setTargetFacts(facts).build();
-    peers.forEach(vm -> network.accept(vm, frame));
+    peers.get().forEach(vm -> network.accept(vm, frame));
   }
 
   /**
@@ -96,7 +98,8 @@
   }
 
   private void compare() {
-    if (peers.isEmpty()) {
+    List<String> others = List.copyOf(peers.get());
+    if (others.isEmpty()) {
       return;
     }
     List<Long> digests = new ArrayList<>();
@@ -104,7 +107,7 @@
       digests.add(digest);
     }
     TargetDigests message = TargetDigests.newBuilder().addAllDigests(digests).build();
-    String vm = peers.get(random.nextInt(peers.size()));
+    String vm = others.get(random.nextInt(others.size()));
     network.accept(vm, Frame.newBuilder().setTargetDigests(message).build());
   }
 
--- a/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.routing.ChainPlanner;
@@ -43,7 +44,7 @@
    * @param rules the rules in force
    * @param random source of draws
    */
-  public TargetRegistry(int vms, Supplier<RuleSet> rules, RandomGenerator random) {
+  public TargetRegistry(IntSupplier vms, Supplier<RuleSet> rules, RandomGenerator random) {
     this.observed = new ObservedLoad(vms);
     this.rules = rules;
     this.planner =
--- a/server/src/main/java/org/clementinesail/server/wiring/ControlModule.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/ControlModule.java
@@ -2,10 +2,8 @@
 
 import dagger.Module;
 import dagger.Provides;
-import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.stream.Stream;
 import javax.inject.Singleton;
 import org.clementinesail.server.control.ControlClient;
 import org.clementinesail.server.control.PeerRequests;
@@ -67,11 +65,8 @@
 
   @Provides
   @Singleton
-  static SiteStatus status(Settings settings, PeerRequests requests, TargetRegistry targets) {
-    List<String> vms =
-        Stream.concat(Stream.of(settings.vm()), settings.peers().stream().map(Settings.Peer::vm))
-            .sorted()
-            .toList();
-    return new SiteStatus(requests, vms, targets::facts);
+  static SiteStatus status(
+      Settings settings, PeerRequests requests, TargetRegistry targets, Switchboard switchboard) {
+    return new SiteStatus(settings.vm(), requests, switchboard::peers, targets::facts);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/wiring/Switchboard.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/Switchboard.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.wiring;
 
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -52,7 +53,7 @@
   }
 
   void broadcast(Frame frame) {
-    settings.peers().forEach(peer -> network.send(peer.vm(), frame));
+    network.peers().forEach(vm -> network.send(vm, frame));
   }
 
   void send(ReplicaMessage message) {
@@ -64,6 +65,10 @@
     return vm.equals(settings.vm()) ? PeerReach.CONNECTED : network.reach(vm);
   }
 
+  Collection<String> peers() {
+    return network.peers();
+  }
+
   Traffic traffic() {
     return network.traffic();
   }
--- a/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/TrafficModule.java
@@ -41,18 +41,14 @@
 
   @Provides
   @Singleton
-  static TargetRegistry targets(Settings settings, RulesKeeper rules) {
-    return new TargetRegistry(settings.peers().size() + 1, rules::rules, RANDOM);
+  static TargetRegistry targets(Switchboard switchboard, RulesKeeper rules) {
+    return new TargetRegistry(() -> switchboard.peers().size() + 1, rules::rules, RANDOM);
   }
 
   @Provides
   @Singleton
-  static TargetGossip gossip(Settings settings, TargetRegistry targets, Switchboard switchboard) {
-    return new TargetGossip(
-        targets,
-        settings.peers().stream().map(Settings.Peer::vm).toList(),
-        switchboard::send,
-        RANDOM);
+  static TargetGossip gossip(TargetRegistry targets, Switchboard switchboard) {
+    return new TargetGossip(targets, switchboard::peers, switchboard::send, RANDOM);
   }
 
   @Provides
--- a/wire/src/main/java/org/clementinesail/wire/AcceptedPeer.java
+++ b/wire/src/main/java/org/clementinesail/wire/AcceptedPeer.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
 import org.clementinesail.wire.proto.AuthAnswer;
 import org.clementinesail.wire.proto.AuthChallenge;
 import org.clementinesail.wire.proto.AuthDone;
@@ -17,14 +19,20 @@
   private final String self;
   private final SharedSecret secret;
   private final PeerListener listener;
+  private final BiConsumer<String, InetSocketAddress> authenticated;
   private final ByteString nonce;
   private @Nullable String vm;
 
-  AcceptedPeer(String self, SharedSecret secret, PeerListener listener) {
+  AcceptedPeer(
+      String self,
+      SharedSecret secret,
+      PeerListener listener,
+      BiConsumer<String, InetSocketAddress> authenticated) {
     super(Frame.class);
     this.self = self;
     this.secret = secret;
     this.listener = listener;
+    this.authenticated = authenticated;
     this.nonce = secret.nonce();
   }
 
@@ -36,20 +44,22 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-    String authenticated = vm;
-    if (authenticated == null) {
+    String sender = vm;
+    if (sender == null) {
       authenticate(context, frame);
     } else if (frame.hasPing()) {
       Ping answer = Ping.newBuilder().setAnswer(true).build();
       context.writeAndFlush(Frame.newBuilder().setPing(answer).build());
     } else {
-      listener.received(authenticated, frame);
+      listener.received(sender, frame);
     }
   }
 
   private void authenticate(ChannelHandlerContext context, Frame frame) {
     AuthAnswer answer = frame.getAuthAnswer();
-    ByteString expected = secret.prove("client", nonce, answer.getNonce(), answer.getVm());
+    ByteString expected =
+        secret.prove(
+            "client", nonce, answer.getNonce(), answer.getVm() + "@" + answer.getAddress());
     if (!frame.hasAuthAnswer() || !SharedSecret.same(expected, answer.getMac())) {
       Logger.warn("refused a connection that does not hold the shared secret");
       context.close();
@@ -57,6 +67,8 @@
     }
     vm = answer.getVm();
     FrameCodec.allowLargeFrames(context.pipeline());
+    PeerAddress.parse(answer.getAddress())
+        .ifPresent(address -> authenticated.accept(answer.getVm(), address));
     ByteString proof = secret.prove("server", nonce, answer.getNonce(), self);
     context.writeAndFlush(
         Frame.newBuilder().setAuthDone(AuthDone.newBuilder().setMac(proof)).build());
--- a/wire/src/main/java/org/clementinesail/wire/PeerLink.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerLink.java
@@ -34,6 +34,7 @@
       new WriteBufferWaterMark(8 * 1_024 * 1_024, 64 * 1_024 * 1_024);
 
   private final String self;
+  private final String ownAddress;
   private final String vm;
   private final InetSocketAddress address;
   private final SharedSecret secret;
@@ -46,6 +47,7 @@
 
   PeerLink(
       String self,
+      InetSocketAddress ownAddress,
       String vm,
       InetSocketAddress address,
       SharedSecret secret,
@@ -53,6 +55,7 @@
       EventLoopGroup group,
       PeerListener listener) {
     this.self = self;
+    this.ownAddress = PeerAddress.format(ownAddress);
     this.vm = vm;
     this.address = address;
     this.secret = secret;
@@ -144,7 +147,8 @@
             AuthAnswer.newBuilder()
                 .setVm(self)
                 .setNonce(clientNonce)
-                .setMac(secret.prove("client", serverNonce, clientNonce, self))
+                .setAddress(ownAddress)
+                .setMac(secret.prove("client", serverNonce, clientNonce, self + "@" + ownAddress))
                 .build();
         context.writeAndFlush(Frame.newBuilder().setAuthAnswer(answer).build());
       } else if (frame.hasAuthDone()) {
--- a/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
@@ -11,11 +11,14 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.wire.proto.Frame;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * Connections to all other VMs of the site. Frames may be lost; a connection that goes silent is
@@ -62,7 +65,7 @@
     this.listener = listener;
     peers.forEach(
         (vm, address) ->
-            links.put(vm, new PeerLink(self, vm, address, secret, traffic, group, listener)));
+            links.put(vm, new PeerLink(self, bind, vm, address, secret, traffic, group, listener)));
   }
 
   /** Accepts connections and begins to connect to the other VMs. */
@@ -81,7 +84,9 @@
                         .pipeline()
                         .addLast(new IdleStateHandler(SILENCE_MS, 0, 0, TimeUnit.MILLISECONDS));
                     FrameCodec.install(channel.pipeline(), traffic);
-                    channel.pipeline().addLast(new AcceptedPeer(self, secret, listener));
+                    channel
+                        .pipeline()
+                        .addLast(new AcceptedPeer(self, secret, listener, PeerNetwork.this::learn));
                   }
                 })
             .bind(bind)
@@ -112,9 +117,21 @@
     return link == null ? PeerReach.SILENT : link.reach();
   }
 
-  /** Returns the names of the other VMs. */
-  public Iterable<String> peers() {
-    return links.keySet();
+  /** Returns the names of the other VMs, those included that have joined since the start. */
+  public Collection<String> peers() {
+    return Set.copyOf(links.keySet());
+  }
+
+  /** Connects back to a VM that the settings do not name, as one that has joined the site. */
+  private void learn(String vm, InetSocketAddress address) {
+    if (vm.equals(self) || links.containsKey(vm)) {
+      return;
+    }
+    PeerLink link = new PeerLink(self, bind, vm, address, secret, traffic, group, listener);
+    if (links.putIfAbsent(vm, link) == null) {
+      Logger.info("VM {} at {} has joined", vm, address);
+      link.connect();
+    }
   }
 
   /** Returns the byte counts. */
--- a/wire/src/main/java/org/clementinesail/wire/SharedSecret.java
+++ b/wire/src/main/java/org/clementinesail/wire/SharedSecret.java
@@ -29,11 +29,11 @@
     return ByteString.copyFrom(nonce);
   }
 
-  ByteString prove(String side, ByteString serverNonce, ByteString clientNonce, String vm) {
+  ByteString prove(String side, ByteString serverNonce, ByteString clientNonce, String claim) {
     Hasher hasher = Hashing.hmacSha256(secret).newHasher();
     hasher.putString(side, StandardCharsets.UTF_8).putByte((byte) 0);
     hasher.putBytes(serverNonce.toByteArray()).putBytes(clientNonce.toByteArray());
-    hasher.putString(vm, StandardCharsets.UTF_8);
+    hasher.putString(claim, StandardCharsets.UTF_8);
     return ByteString.copyFrom(hasher.hash().asBytes());
   }
 
