Count an engine that goes silent under a step as a crash

An engine that ends slowly is asked, says nothing, and was taken for silent, which marked nobody; so the request went through all engines. Ruled out: the turns (they are forgotten after 5 s). The stand-in now ends slowly and says nothing meanwhile, which brought the fault about without load. Change: silence marks as a crash does, a refused probe is a crash, turns are kept for each target so that requests in doubt run side by side on different ones, 20 ms to listen.

--- a/core/src/main/java/org/clementinesail/core/pipeline/DoubtTurns.java
+++ b/core/src/main/java/org/clementinesail/core/pipeline/DoubtTurns.java
@@ -13,7 +13,7 @@
  */
 public final class DoubtTurns {
   /** How long a VM listens between its word that it waits and its turn, in nanoseconds. */
-  public static final long LISTEN_NANOS = 50_000_000L;
+  public static final long LISTEN_NANOS = 20_000_000L;
 
   private static final long FORGET_NANOS = 5_000_000_000L;
 
@@ -27,10 +27,12 @@
     DONE
   }
 
-  private record Turn(String target, State state, long at) {}
+  private record Place(String vm, String target) {}
+
+  private record Turn(State state, long at) {}
 
   private final String self;
-  private final Map<String, Turn> others = new HashMap<>();
+  private final Map<Place, Turn> others = new HashMap<>();
 
   /**
    * Creates the turns of a VM that has heard of no other.
@@ -51,9 +53,9 @@
    */
   public void heard(String vm, String target, State state, long now) {
     if (state == State.DONE) {
-      others.remove(vm);
+      others.remove(new Place(vm, target));
     } else {
-      others.put(vm, new Turn(target, state, now));
+      others.put(new Place(vm, target), new Turn(state, now));
     }
   }
 
@@ -65,10 +67,10 @@
    */
   public boolean mayRun(String target, long now) {
     others.values().removeIf(turn -> now - turn.at() > FORGET_NANOS);
-    for (Map.Entry<String, Turn> entry : others.entrySet()) {
-      Turn turn = entry.getValue();
-      boolean first = turn.state() == State.RUNNING || entry.getKey().compareTo(self) < 0;
-      if (turn.target().equals(target) && first) {
+    for (Map.Entry<Place, Turn> entry : others.entrySet()) {
+      Place place = entry.getKey();
+      boolean first = entry.getValue().state() == State.RUNNING || place.vm().compareTo(self) < 0;
+      if (place.target().equals(target) && first) {
         return false;
       }
     }
--- a/core/src/test/java/org/clementinesail/core/pipeline/PipelineRunTest.java
+++ b/core/src/test/java/org/clementinesail/core/pipeline/PipelineRunTest.java
@@ -155,6 +155,25 @@
         .useReplacement(List.of(stage("x", 0, 3), stage("y", 2, 6)));
   }
 
+  /** Turns of requests in doubt. */
+  public static final class DoubtTurnsTest {
+    /** One VM at a time runs on a target; the first by name of those that wait goes next. */
+    @Test
+    public void oneVmAtATimeOnATarget() {
+      DoubtTurns turns = new DoubtTurns("vm-2");
+      assertTrue(turns.mayRun("e1", 0));
+      turns.heard("vm-3", "e1", DoubtTurns.State.WAITING, 0);
+      assertTrue(turns.mayRun("e1", 0));
+      turns.heard("vm-3", "e1", DoubtTurns.State.RUNNING, 0);
+      assertFalse(turns.mayRun("e1", 0));
+      assertTrue(turns.mayRun("e2", 0), "another target");
+      turns.heard("vm-3", "e1", DoubtTurns.State.DONE, 0);
+      turns.heard("vm-1", "e1", DoubtTurns.State.WAITING, 0);
+      assertFalse(turns.mayRun("e1", 0));
+      assertTrue(turns.mayRun("e1", 6_000_000_000L), "a VM that is not heard of any more");
+    }
+  }
+
   /** Blame for crashes. */
   public static final class CrashLedgerTest {
     private static CrashLedger.Mark mark(int position, String target, boolean isolated) {
--- a/fakes/src/main/java/org/clementinesail/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/clementinesail/fakes/FakeEngine.java
@@ -22,6 +22,7 @@
   static final String CRASH_TOKEN = "CRASH! ";
 
   private static final int CONFLICT = 409;
+  private static final long CRASH_MS = 1_000;
 
   /**
    * How an engine is set up.
@@ -66,6 +67,7 @@
   private final Set<String> stepping = ConcurrentHashMap.newKeySet();
   private final AtomicInteger running = new AtomicInteger();
   private final Announcer announcer;
+  private volatile boolean crashing;
 
   FakeEngine(Setup setup) {
     this.setup = setup;
@@ -177,7 +179,7 @@
 
   private long runPosition(Memory memory, int position, String input) {
     if (setup.from() == 0 && input.equals(CRASH_TOKEN)) {
-      Runtime.getRuntime().halt(1);
+      crash();
     }
     long value = setup.from() == 0 ? FakeModel.embed(input) : Long.parseUnsignedLong(input, 16);
     if (position < memory.layers.get(0).held()) {
@@ -191,6 +193,21 @@
     return value;
   }
 
+  /** Says nothing any more, and ends a while later, as a process that writes its memory out. */
+  private void crash() {
+    crashing = true;
+    pause(CRASH_MS);
+    Runtime.getRuntime().halt(1);
+  }
+
+  private static void pause(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void cancel(HttpServerExchange exchange) throws IOException {
     String request = FakeServer.body(exchange).path("request").asText();
     Memory memory = memories.remove(request);
@@ -201,6 +218,9 @@
   }
 
   private void health(HttpServerExchange exchange) throws IOException {
+    if (crashing) {
+      pause(CRASH_MS);
+    }
     Deque<String> request = exchange.getQueryParameters().get("request");
     boolean runs = request != null && stepping.contains(request.getFirst());
     FakeServer.reply(exchange, 200, FakeServer.MAPPER.createObjectNode().put("running", runs));
--- a/server/src/main/java/org/clementinesail/server/requests/CrashWatch.java
+++ b/server/src/main/java/org/clementinesail/server/requests/CrashWatch.java
@@ -1,6 +1,8 @@
 package org.clementinesail.server.requests;
 
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,7 +25,7 @@
 
   private final CrashLedger ledger = new CrashLedger();
   private final DoubtTurns turns;
-  private final Semaphore doubt = new Semaphore(1, true);
+  private final Map<String, Semaphore> doubt = new ConcurrentHashMap<>();
   private final Consumer<Frame> broadcast;
 
   /**
@@ -115,7 +117,7 @@
     if (!inDoubt) {
       return false;
     }
-    doubt.acquire();
+    turnsOn(target).acquire();
     say(target, DoubtTurn.State.WAITING);
     TimeUnit.NANOSECONDS.sleep(DoubtTurns.LISTEN_NANOS);
     while (!mayRun(target)) {
@@ -132,7 +134,7 @@
    */
   public void leave(String target) {
     say(target, DoubtTurn.State.DONE);
-    doubt.release();
+    turnsOn(target).release();
   }
 
   /**
@@ -153,6 +155,10 @@
     }
   }
 
+  private Semaphore turnsOn(String target) {
+    return doubt.computeIfAbsent(target, key -> new Semaphore(1, true));
+  }
+
   private boolean mayRun(String target) {
     synchronized (turns) {
       return turns.mayRun(target, System.nanoTime());
--- a/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
+++ b/server/src/main/java/org/clementinesail/server/requests/ModelRunner.java
@@ -211,7 +211,8 @@
       Logger.info(
           "target {} failed request {} at position {}: {}", target, request.id(), position, reason);
       run.failed(reason);
-      if (reason != StepFailure.CRASHED) {
+      // A process that writes its memory out before it ends is silent first.
+      if (reason != StepFailure.CRASHED && reason != StepFailure.SILENT) {
         return null;
       }
       String life = target + "#" + targets.incarnation(target);
--- a/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -92,7 +92,7 @@
 
   @Override
   public boolean answers(TargetDescription target) {
-    return health(target, "") != null;
+    return probe(target, "").answers();
   }
 
   @Override
@@ -124,6 +124,8 @@
 
   private static final Attempt SILENT =
       new Attempt(new StepOutcome.Failed(StepFailure.SILENT), false);
+  private static final Attempt CRASHED =
+      new Attempt(new StepOutcome.Failed(StepFailure.CRASHED), false);
   private static final Attempt CONNECTION_LOST =
       new Attempt(new StepOutcome.Failed(StepFailure.SILENT), true);
 
@@ -157,21 +159,45 @@
     if (System.nanoTime() - deadline > 0) {
       return SILENT;
     }
-    JsonNode health = health(target, requestId);
-    if (health == null) {
-      return SILENT;
+    Probe probe = probe(target, requestId);
+    return switch (probe) {
+      case RUNNING -> null;
+      case NOT_RUNNING -> CONNECTION_LOST;
+      case REFUSED -> CRASHED;
+      case SILENT -> SILENT;
+    };
+  }
+
+  /** What an engine says on a new connection. */
+  private enum Probe {
+    /** It runs the step. */
+    RUNNING,
+    /** It answers, and does not run the step. */
+    NOT_RUNNING,
+    /** No process listens there any more. */
+    REFUSED,
+    /** Nothing answers. */
+    SILENT;
+
+    boolean answers() {
+      return this == RUNNING || this == NOT_RUNNING;
     }
-    return health.path("running").asBoolean(false) ? null : CONNECTION_LOST;
   }
 
-  private @Nullable JsonNode health(TargetDescription target, String requestId) {
-    OkHttpClient probe = fresh.newBuilder().callTimeout(PROBE).build();
+  private Probe probe(TargetDescription target, String requestId) {
+    OkHttpClient client = fresh.newBuilder().callTimeout(PROBE).build();
     Request request =
         new Request.Builder().url(target.address() + "/v1/health?request=" + requestId).build();
-    try (Response response = probe.newCall(request).execute()) {
-      return response.isSuccessful() ? mapper.readTree(response.body().byteStream()) : null;
+    try (Response response = client.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        return Probe.SILENT;
+      }
+      JsonNode health = mapper.readTree(response.body().byteStream());
+      return health.path("running").asBoolean(false) ? Probe.RUNNING : Probe.NOT_RUNNING;
+    } catch (ConnectException e) {
+      return Probe.REFUSED;
     } catch (IOException e) {
-      return null;
+      return Probe.SILENT;
     }
   }
 
