--- /dev/null
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaSeededTest.java
@@ -0,0 +1,104 @@
+package org.clementinesail.core.replication;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Random orders of messages with losses, repeats, delays, kills, cuts and lost disks. */
+public final class ReplicaSeededTest {
+  private static final int ROUNDS = 60;
+
+  /** Seeds are fixed, so that the verdict is the same on every run. */
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {
+      {101L, 3}, {102L, 3}, {103L, 3}, {104L, 3}, {105L, 3}, {106L, 3}, {107L, 3}, {108L, 3},
+      {201L, 5}, {202L, 5}, {203L, 5}, {204L, 5}
+    };
+  }
+
+  /** The cluster checks one leader a term, accepted entries kept and one authority at each step. */
+  @Test(dataProvider = "seeds")
+  public void keepsItsPromises(long seed, int size) {
+    String[] vms = List.of("a", "b", "c", "d", "e").subList(0, size).toArray(new String[0]);
+    SteppedCluster cluster = new SteppedCluster(seed, vms);
+    cluster.awaitLeader();
+    Random random = new Random(seed);
+    cluster.loss = 0.05;
+    cluster.repeat = 0.05;
+    cluster.maxDelay = 40_000_000;
+    long ticket = 1;
+    for (int round = 0; round < ROUNDS; round++) {
+      fault(cluster, vms, random);
+      for (int i = 0; i < 10; i++) {
+        for (String vm : vms) {
+          cluster.propose(vm, ticket++);
+        }
+        cluster.run(random.nextInt(60));
+      }
+    }
+    cluster.loss = 0;
+    cluster.heal();
+    for (String vm : vms) {
+      if (cluster.nodes.get(vm).core == null) {
+        cluster.start(vm);
+      }
+    }
+    cluster.run(10_000);
+    SteppedCluster.Node leader = cluster.awaitLeader();
+    long last = cluster.core(leader.vm).commit();
+    assertTrue(last > ROUNDS, "seed " + seed + ": only " + last + " entries were accepted");
+    for (String vm : vms) {
+      assertTrue(
+          cluster.core(vm).commit() >= last - 1, "seed " + seed + ": " + vm + " lags behind");
+    }
+  }
+
+  private static void fault(SteppedCluster cluster, String[] vms, Random random) {
+    cluster.heal();
+    String vm = vms[random.nextInt(vms.length)];
+    boolean runs = cluster.nodes.get(vm).core != null;
+    switch (random.nextInt(6)) {
+      case 0 -> cluster.kill(vm);
+      case 1 -> cluster.isolate(vm);
+      case 2 -> cluster.cut(vm, vms[random.nextInt(vms.length)]);
+      case 3 -> {
+        if (repairable(cluster, vms)) {
+          cluster.wipe(vm);
+          cluster.start(vm);
+        }
+      }
+      default -> {
+        for (String each : vms) {
+          if (cluster.nodes.get(each).core == null) {
+            cluster.start(each);
+          }
+        }
+      }
+    }
+    if (!runs) {
+      cluster.start(vm);
+    }
+  }
+
+  /** A disk may be lost while all replicas vote and hold everything accepted. */
+  private static boolean repairable(SteppedCluster cluster, String[] vms) {
+    SteppedCluster.Node leader = cluster.leader();
+    if (leader == null || leader.core == null) {
+      return false;
+    }
+    ReplicaCore core = leader.core;
+    for (String vm : vms) {
+      ReplicaCore other = cluster.nodes.get(vm).core;
+      if (other == null
+          || !core.config().voters().contains(other.self())
+          || other.lastIndex() < cluster.accepted.size()) {
+        return false;
+      }
+    }
+    return core.config().voters().size() == vms.length;
+  }
+}
--- a/it/src/test/java/org/clementinesail/it/Site.java
+++ b/it/src/test/java/org/clementinesail/it/Site.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -38,8 +35,6 @@
 
   private static final String TOKEN = "operator-token-of-tests";
   private static final Duration AWAIT = Duration.ofSeconds(30);
-  private static final int FIRST_PORT = 20_000;
-  private static final int LAST_PORT = 32_000;
   private static final MediaType JSON = MediaType.get("application/json");
 
   /** An HTTP answer. */
@@ -56,8 +51,6 @@
   /** Ports of one VM. */
   private record Ports(int callers, int targets, int operators, int peers) {}
 
-  private static int nextPort = FIRST_PORT;
-
   final Path folder;
   final Map<String, Program> programs = new LinkedHashMap<>();
   final OkHttpClient http =
@@ -76,12 +69,14 @@
     Files.writeString(folder.resolve("peer.secret"), "peer-secret-of-tests\n");
     Files.writeString(folder.resolve("operator.token"), TOKEN + "\n");
     for (int i = 1; i <= vms; i++) {
-      ports.put("vm-" + i, new Ports(freePort(), freePort(), freePort(), freePort()));
+      ports.put(
+          "vm-" + i,
+          new Ports(FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next()));
     }
     for (String from : ports.keySet()) {
       for (String to : ports.keySet()) {
         if (!from.equals(to)) {
-          int port = freePort();
+          int port = FreePorts.next();
           relays.put(from + ">" + to, new Relay(port, ports.get(to).peers()));
           targetPorts.put(from + ">" + to, port);
         }
@@ -119,7 +114,8 @@
   /** Starts a VM without a replica that the others' settings do not name. */
   String joinVm() throws IOException {
     String vm = "vm-" + (ports.size() + 1);
-    ports.put(vm, new Ports(freePort(), freePort(), freePort(), freePort()));
+    ports.put(
+        vm, new Ports(FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next()));
     for (String other : vms()) {
       targetPorts.put(vm + ">" + other, ports.get(other).peers());
     }
@@ -152,7 +148,7 @@
 
   /** Returns a relay to a target; the target is to announce the relay's port. */
   Relay relayTo(String target) throws IOException {
-    int port = freePort();
+    int port = FreePorts.next();
     Relay relay = new Relay(port, port(target));
     relays.put("to " + target, relay);
     targetPorts.put("relay " + target, port);
@@ -187,7 +183,7 @@
     if (known != null) {
       return known;
     }
-    int port = freePort();
+    int port = FreePorts.next();
     targetPorts.put(target, port);
     return port;
   }
@@ -378,18 +374,6 @@
     }
   }
 
-  /** Returns a port below the range that the system gives to outgoing connections. */
-  private static synchronized int freePort() throws IOException {
-    while (true) {
-      nextPort = nextPort < LAST_PORT ? nextPort + 1 : FIRST_PORT;
-      try (ServerSocket socket = new ServerSocket(nextPort, 1, InetAddress.getLoopbackAddress())) {
-        return socket.getLocalPort();
-      } catch (BindException e) {
-        // Another process has it.
-      }
-    }
-  }
-
   void close() throws Exception {
     for (Program program : programs.values()) {
       program.kill();
--- a/server/src/main/java/org/clementinesail/server/control/RulesKeeper.java
+++ b/server/src/main/java/org/clementinesail/server/control/RulesKeeper.java
@@ -75,7 +75,9 @@
    * @param timer runs the questions
    */
   public void start(ScheduledExecutorService timer) {
-    var unused = timer.scheduleWithFixedDelay(this::poll, 0, POLL_MS, TimeUnit.MILLISECONDS);
+    var unused =
+        timer.scheduleWithFixedDelay(
+            new GuardedTask("asking for the rules", this::poll), 0, POLL_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Returns the rules in force on this VM. */
--- a/server/src/main/java/org/clementinesail/server/targets/TargetGossip.java
+++ b/server/src/main/java/org/clementinesail/server/targets/TargetGossip.java
@@ -9,11 +9,11 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.targets.TargetFact;
+import org.clementinesail.server.control.GuardedTask;
 import org.clementinesail.wire.TargetCodec;
 import org.clementinesail.wire.proto.Frame;
 import org.clementinesail.wire.proto.TargetDigests;
 import org.clementinesail.wire.proto.TargetFacts;
-import org.tinylog.Logger;
 
 /**
  * Spreads statements about targets to all VMs: each once by the VM that heard it, and what got lost
@@ -55,10 +55,16 @@
   public void start(ScheduledExecutorService timer) {
     var unusedFlush =
         timer.scheduleWithFixedDelay(
-            () -> guarded(this::flush), FLUSH_MS, FLUSH_MS, TimeUnit.MILLISECONDS);
+            new GuardedTask("sending statements", this::flush),
+            FLUSH_MS,
+            FLUSH_MS,
+            TimeUnit.MILLISECONDS);
     var unusedDigest =
         timer.scheduleWithFixedDelay(
-            () -> guarded(this::compare), DIGEST_MS, DIGEST_MS, TimeUnit.MILLISECONDS);
+            new GuardedTask("comparing digests", this::compare),
+            DIGEST_MS,
+            DIGEST_MS,
+            TimeUnit.MILLISECONDS);
   }
 
   /** Sends what is new to all other VMs at once. */
@@ -110,12 +116,4 @@
     String vm = others.get(random.nextInt(others.size()));
     network.accept(vm, Frame.newBuilder().setTargetDigests(message).build());
   }
-
-  private static void guarded(Runnable round) {
-    try {
-      round.run();
-    } catch (RuntimeException e) {
-      Logger.error(e, "a round of spreading statements about targets failed");
-    }
-  }
 }
