Place layers, plan paths and hold a desired state in the core; let replicas join by address

Cause: on the users' platform VMs find one another through three addresses only, targets hold layers by order, and operators submit whole versions. None of these decisions existed. Ruled out: a second log beside the rule file's (one state machine now holds both), gossip between entry VMs (control VMs push to those that subscribe).

--- a/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
+++ b/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
@@ -9,11 +9,31 @@
   private static final double EARNED_PER_REQUEST = 0.2;
   private static final double MAX_SAVED = 20;
 
-  private double saved = MAX_SAVED / 2;
+  private final double earnedPerRequest;
+  private final double maxSaved;
+  private double saved;
+
+  /** Creates a budget of one workspace's calls. */
+  public RetryBudget() {
+    this(EARNED_PER_REQUEST, MAX_SAVED);
+    saved = MAX_SAVED / 2;
+  }
+
+  /**
+   * Creates a full budget.
+   *
+   * @param earnedPerRequest retries earned by each first attempt
+   * @param maxSaved most retries saved
+   */
+  public RetryBudget(double earnedPerRequest, double maxSaved) {
+    this.earnedPerRequest = earnedPerRequest;
+    this.maxSaved = maxSaved;
+    this.saved = maxSaved;
+  }
 
   /** Notes a first attempt. */
   public void requested() {
-    saved = Math.min(MAX_SAVED, saved + EARNED_PER_REQUEST);
+    saved = Math.min(maxSaved, saved + earnedPerRequest);
   }
 
   /** Takes a retry if one is saved. */
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -0,0 +1,240 @@
+package org.clementinesail.core.paths;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.clementinesail.core.desired.EngineModel;
+import org.clementinesail.core.desired.EngineModel.Accelerator;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.targets.LayerRange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the engines that a request passes through: the path over layer boundaries with the least
+ * expected time, among engines with memory for the request.
+ *
+ * <p>Answers steady and bursty load seen by several VMs at once: what this VM has sent since an
+ * engine's last report counts once for each VM, since all see the same report, and a small random
+ * factor keeps VMs from choosing alike.
+ */
+public final class PathPlanner {
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double BITS_PER_BYTE = 8;
+  private static final double MEGA = 1e6;
+
+  /** Delay of a hop within a data centre and between two, in milliseconds a token. */
+  private static final double LOCAL_HOP_MILLIS = 0.2;
+
+  private static final double REMOTE_HOP_MILLIS = 0.7;
+
+  /** Transfers between data centres wait for one another; expected wait, in transfer times. */
+  private static final double PIPE_WAIT = 3;
+
+  /** A token that reaches an engine waits for half a pass on average, and then for its own. */
+  private static final double PASSES_PER_STEP = 1.5;
+
+  /** Share of the memory for requests that may be planned, since answers outgrow their hints. */
+  private static final double KV_PLANNED_SHARE = 0.9;
+
+  /** Spread of the random factor on each engine's time. */
+  private static final double SPREAD = 0.15;
+
+  /** How many reports' worth of work an engine's waiting line adds to its time. */
+  private static final double WAITING_WEIGHT = 1.0;
+
+  private final OwnLoad own;
+  private final RandomGenerator random;
+
+  /**
+   * What a request needs.
+   *
+   * @param promptTokens tokens to read
+   * @param answerTokens tokens that the answer is expected to have
+   * @param dataCentre data centre of the VM, where the path should begin
+   */
+  public record Need(int promptTokens, int answerTokens, String dataCentre) {}
+
+  /** An engine with its estimated times for the request at hand. */
+  private record Candidate(Fleet.Member member, LayerRange layers, double millisPerLayer) {}
+
+  /** The cheapest way found to a layer boundary that ends in one data centre. */
+  private record Arrival(double millis, @Nullable Arrival before, @Nullable Hop hop) {}
+
+  /**
+   * Creates a planner.
+   *
+   * @param own work of this VM at each target
+   * @param random source of the random factors
+   */
+  public PathPlanner(OwnLoad own, RandomGenerator random) {
+    this.own = own;
+    this.random = random;
+  }
+
+  /**
+   * Plans a path over all layers.
+   *
+   * @param model how the engines behave
+   * @param engines engines that take new work
+   * @param need what the request needs
+   * @param excluded identities of targets not to be used
+   * @param vms number of VMs that give work to the engines
+   * @param now present time in nanoseconds
+   * @return the hops in order, or empty if the engines cannot serve the request now
+   */
+  public Optional<List<Hop>> plan(
+      EngineModel model,
+      List<Fleet.Member> engines,
+      Need need,
+      Set<String> excluded,
+      int vms,
+      long now) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (Fleet.Member engine : engines) {
+      if (!excluded.contains(engine.statement().id()) && !engine.suspect(now)) {
+        candidate(model, engine, need, vms, now).ifPresent(candidates::add);
+      }
+    }
+    return cheapest(model, candidates, need);
+  }
+
+  private Optional<Candidate> candidate(
+      EngineModel model, Fleet.Member engine, Need need, int vms, long now) {
+    LayerRange layers = engine.layers();
+    String id = engine.statement().id();
+    Accelerator kind = model.accelerator(engine.statement().accelerator()).orElse(null);
+    if (layers == null || kind == null || !hasMemory(model, kind, engine, need, vms, now)) {
+      return Optional.empty();
+    }
+    EngineReport report = engine.freshReport(now).orElse(null);
+    double unseen = (double) own.requestsSinceReport(id) * vms;
+    double running = report == null ? (double) own.requests(id) * vms : report.running() + unseen;
+    double waiting = report == null ? 0 : report.waiting();
+    double pace = report == null ? 1 : Math.max(1, report.pace());
+    double context = running * (need.promptTokens() + need.answerTokens()) / 1_000.0;
+    double step =
+        kind.stepFactor()
+            * (model.stepMillis()
+                + model.perRequestMillis() * running
+                + model.contextMillisPerThousand() * context);
+    double read =
+        kind.readFactor() * need.promptTokens() / model.readTokensPerSecond() * MILLIS_PER_SECOND;
+    double all =
+        need.answerTokens() * step * PASSES_PER_STEP
+            + read * (1 + WAITING_WEIGHT * waiting + unseen);
+    double factor = 1 + SPREAD * random.nextDouble();
+    return Optional.of(new Candidate(engine, layers, all * pace * factor / model.layers()));
+  }
+
+  private boolean hasMemory(
+      EngineModel model, Accelerator kind, Fleet.Member engine, Need need, int vms, long now) {
+    LayerRange layers = engine.layers();
+    if (layers == null) {
+      return false;
+    }
+    EngineReport report = engine.freshReport(now).orElse(null);
+    double perTokenLayer = model.kvBytesPerToken() / model.layers() / MEGA;
+    double free = kind.megabytes() - layers.size() * model.layerMegabytes();
+    double total = report != null && report.kvTotal() > 0 ? report.kvTotal() : free / perTokenLayer;
+    double used = report == null ? 0 : report.kvUsed();
+    double unseen = (double) own.kvSinceReport(engine.statement().id()) * vms;
+    double wanted = (double) (need.promptTokens() + need.answerTokens()) * layers.size();
+    return used + unseen + wanted <= total * KV_PLANNED_SHARE;
+  }
+
+  private Optional<List<Hop>> cheapest(EngineModel model, List<Candidate> candidates, Need need) {
+    NavigableSet<Integer> cuts = new TreeSet<>();
+    for (Candidate candidate : candidates) {
+      cuts.add(candidate.layers().from());
+      cuts.add(candidate.layers().to());
+    }
+    Map<Integer, Map<String, Arrival>> best = new HashMap<>();
+    best.put(0, new HashMap<>(Map.of(need.dataCentre(), new Arrival(0, null, null))));
+    for (int cut : cuts) {
+      Map<String, Arrival> here = best.get(cut);
+      if (here != null && cut < model.layers()) {
+        for (Candidate candidate : candidates) {
+          if (candidate.layers().from() <= cut && cut < candidate.layers().to()) {
+            extend(model, best, here, cut, candidate, cuts, need);
+          }
+        }
+      }
+    }
+    Map<String, Arrival> ends = best.getOrDefault(model.layers(), Map.of());
+    return ends.values().stream()
+        .min((a, b) -> Double.compare(a.millis(), b.millis()))
+        .map(PathPlanner::hops)
+        .filter(PathPlanner::visitsEachOnce);
+  }
+
+  private static void extend(
+      EngineModel model,
+      Map<Integer, Map<String, Arrival>> best,
+      Map<String, Arrival> here,
+      int cut,
+      Candidate candidate,
+      NavigableSet<Integer> cuts,
+      Need need) {
+    String to = candidate.member().statement().dataCentre();
+    Arrival before = null;
+    double reached = Double.MAX_VALUE;
+    for (Map.Entry<String, Arrival> entry : here.entrySet()) {
+      boolean remote = !entry.getKey().equals(to);
+      double millis = entry.getValue().millis() + hopMillis(model, need, remote);
+      if (millis < reached) {
+        reached = millis;
+        before = entry.getValue();
+      }
+    }
+    for (int end : cuts.subSet(cut + 1, candidate.layers().to() + 1)) {
+      double millis = reached + candidate.millisPerLayer() * (end - cut);
+      Map<String, Arrival> there = best.computeIfAbsent(end, key -> new HashMap<>());
+      Arrival known = there.get(to);
+      if (known == null || millis < known.millis()) {
+        Hop hop =
+            new Hop(
+                candidate.member().statement().id(),
+                candidate.member().statement().address(),
+                to,
+                new LayerRange(cut, end));
+        there.put(to, new Arrival(millis, before, hop));
+      }
+    }
+  }
+
+  private static double hopMillis(EngineModel model, Need need, boolean remote) {
+    if (!remote) {
+      return LOCAL_HOP_MILLIS * need.answerTokens();
+    }
+    double transfer =
+        need.promptTokens()
+            * model.activationBytes()
+            * BITS_PER_BYTE
+            / (Math.max(1, model.pipeMegabitsPerSecond()) * MEGA)
+            * MILLIS_PER_SECOND;
+    return REMOTE_HOP_MILLIS * need.answerTokens() + PIPE_WAIT * transfer;
+  }
+
+  private static List<Hop> hops(Arrival end) {
+    List<Hop> hops = new ArrayList<>();
+    for (Arrival at = end; at != null && at.hop() != null; at = at.before()) {
+      hops.add(at.hop());
+    }
+    Collections.reverse(hops);
+    return hops;
+  }
+
+  private static boolean visitsEachOnce(List<Hop> hops) {
+    Set<String> seen = new HashSet<>();
+    return hops.stream().allMatch(hop -> seen.add(hop.id()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which layers each engine holds. */
+package org.clementinesail.core.placement;
--- a/core/src/main/java/org/clementinesail/core/replication/Formation.java
+++ b/core/src/main/java/org/clementinesail/core/replication/Formation.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Forms a cluster once every founder is present with a blank disk.
@@ -18,19 +19,36 @@
 
   private final ReplicaId self;
   private final List<String> founders;
+  private final boolean open;
+  private List<String> contacts;
   private final Map<String, Greeting> greetings = new HashMap<>();
 
-  Formation(ReplicaId self, List<String> founders) {
+  Formation(ReplicaId self, Membership membership) {
     this.self = self;
-    this.founders = founders.stream().sorted().toList();
+    this.founders = membership.founders().stream().sorted().toList();
+    this.contacts = membership.contacts();
+    this.open = membership.open();
   }
 
+  /** Returns the VMs to greet while no cluster is found. */
   List<String> others() {
-    return founders.stream().filter(vm -> !vm.equals(self.vm())).toList();
+    return Stream.concat(founders.stream(), contacts.stream())
+        .distinct()
+        .filter(vm -> !vm.equals(self.vm()))
+        .toList();
+  }
+
+  void contacts(List<String> next) {
+    contacts = List.copyOf(next);
+  }
+
+  /** Returns whether VMs that are no founders may hold replicas. */
+  boolean open() {
+    return open;
   }
 
   boolean mayJoin(String vm) {
-    return founders.contains(vm);
+    return open || founders.contains(vm);
   }
 
   void greeted(ReplicaId from, boolean blank, long now) {
@@ -48,7 +66,10 @@
     }
     List<ReplicaId> voters = new ArrayList<>();
     voters.add(self);
-    for (String vm : others()) {
+    for (String vm : founders) {
+      if (vm.equals(self.vm())) {
+        continue;
+      }
       Greeting greeting = greetings.get(vm);
       if (greeting == null || now - greeting.at > FRESH_NANOS) {
         return Optional.empty();
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaConfig.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaConfig.java
@@ -67,4 +67,15 @@
     nextLearners.remove(id);
     return new ReplicaConfig(nextVoters, nextLearners);
   }
+
+  /**
+   * Returns a configuration without one replica.
+   *
+   * @param id the replica
+   */
+  public ReplicaConfig without(ReplicaId id) {
+    return new ReplicaConfig(
+        voters.stream().filter(v -> !v.equals(id)).toList(),
+        learners.stream().filter(v -> !v.equals(id)).toList());
+  }
 }
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -24,6 +24,18 @@
   private static final int ENTRIES_KEPT_BEHIND_SNAPSHOT = 256;
   private static final int HEARTBEATS_PER_HELLO = 3;
 
+  /** Most voters; more would slow each acceptance without bearing losses that are asked for. */
+  private static final int MOST_VOTERS = 7;
+
+  /** Fewest voters that silent ones are taken out of, so that one more loss can be borne. */
+  private static final int FEWEST_VOTERS = 3;
+
+  /** Longest election times without an answer after which a voter may be replaced. */
+  private static final int SILENT_ELECTIONS = 2;
+
+  /** Longest election times without an answer after which a voter is taken out. */
+  private static final int LOST_ELECTIONS = 6;
+
   private final ReplicaContext context;
   private final LogReplication replication;
   private final Elections elections;
@@ -34,7 +46,7 @@
    * Creates a replica from what its disk holds.
    *
    * @param self identity of this replica
-   * @param founders names of the VMs that hold replicas, this one included
+   * @param membership who may hold replicas
    * @param stored what the disk holds
    * @param timing time settings
    * @param random source of election times and cluster numbers
@@ -42,7 +54,7 @@
    */
   public ReplicaCore(
       ReplicaId self,
-      List<String> founders,
+      Membership membership,
       StoredState stored,
       Timing timing,
       RandomGenerator random,
@@ -50,7 +62,7 @@
     this.context = new ReplicaContext(self, stored, timing, random, now);
     this.replication = new LogReplication(context);
     this.elections = new Elections(context, replication);
-    this.formation = new Formation(self, founders);
+    this.formation = new Formation(self, membership);
   }
 
   /** Returns this replica's identity. */
@@ -58,6 +70,15 @@
     return context.self;
   }
 
+  /**
+   * Replaces the VMs that are greeted while no cluster is found.
+   *
+   * @param vms names of VMs
+   */
+  public void contacts(List<String> vms) {
+    formation.contacts(vms);
+  }
+
   /** Returns the role in the present term. */
   public Role role() {
     return context.role;
@@ -121,8 +142,12 @@
       seekCluster(now);
     } else if (context.leadership != null) {
       replication.tickLeader(context.leadership, now);
+      removeLost(now);
     } else {
       elections.tick(now);
+      if (formation.open() && silentFor(context.lastLeaderContact, SILENT_ELECTIONS, now)) {
+        greet(false, now);
+      }
     }
   }
 
@@ -204,7 +229,11 @@
     }
     ReplicaMessage.Body body = message.body();
     if (body instanceof ReplicaMessage.Hello hello) {
-      onHello(message.from(), hello, now);
+      onHello(message, hello, now);
+    } else if (body instanceof ReplicaMessage.Introduce introduce) {
+      if (message.cluster() == context.cluster && context.leadership != null) {
+        admit(introduce.joiner(), introduce.blank(), now);
+      }
     } else if (body instanceof ReplicaMessage.Genesis genesis) {
       onGenesis(message, genesis, now);
     } else if (context.role == Role.BLANK) {
@@ -262,14 +291,18 @@
   }
 
   private void seekCluster(long now) {
+    greet(true, now);
+    formation.decide(now).ifPresent(founders -> found(founders, now));
+  }
+
+  private void greet(boolean blank, long now) {
     if (now < nextHello) {
       return;
     }
     nextHello = now + HEARTBEATS_PER_HELLO * context.timing.heartbeat();
     for (String vm : formation.others()) {
-      context.send(new ReplicaId(vm, 0), 0, new ReplicaMessage.Hello(true));
+      context.send(new ReplicaId(vm, 0), context.term, new ReplicaMessage.Hello(blank));
     }
-    formation.decide(now).ifPresent(founders -> found(founders, now));
   }
 
   private void found(ReplicaConfig founders, long now) {
@@ -291,22 +324,77 @@
     }
   }
 
-  private void onHello(ReplicaId from, ReplicaMessage.Hello hello, long now) {
+  private void onHello(ReplicaMessage message, ReplicaMessage.Hello hello, long now) {
+    ReplicaId from = message.from();
     formation.greeted(from, hello.blank(), now);
-    if (!hello.blank() || context.role == Role.BLANK) {
+    boolean stray = formation.open() && message.cluster() == context.cluster;
+    if (context.role == Role.BLANK || (!hello.blank() && !stray)) {
+      return;
+    }
+    boolean member = context.config.members().contains(from);
+    if (hello.blank()) {
+      context.send(from, context.term, new ReplicaMessage.Hello(false));
+    } else if (member) {
       return;
     }
-    context.send(from, context.term, new ReplicaMessage.Hello(false));
-    Leadership led = context.leadership;
     Snapshot snapshot = context.log.snapshot();
-    if (!context.config.members().contains(from)) {
-      if (formation.mayJoin(from.vm()) && context.mayReconfigure()) {
-        replication.reconfigure(context.config.withLearner(from));
-      }
-    } else if (led != null) {
-      replication.restartMember(led, from);
-    } else if (snapshot.index() == 0) {
+    if (context.leadership != null) {
+      admit(from, hello.blank(), now);
+    } else if (member && snapshot.index() == 0) {
       context.send(from, context.term, new ReplicaMessage.Genesis(snapshot.config()));
+    } else if (!member && formation.open() && context.leader != null) {
+      context.send(context.leader, context.term, new ReplicaMessage.Introduce(from, hello.blank()));
+    }
+  }
+
+  /** Takes a replica in as a learner, in place of one on the same VM or of a silent voter. */
+  private void admit(ReplicaId joiner, boolean blank, long now) {
+    Leadership led = context.leadership;
+    if (led == null) {
+      return;
+    }
+    if (context.config.members().contains(joiner)) {
+      if (blank) {
+        replication.restartMember(led, joiner);
+      }
+      return;
+    }
+    if (!formation.mayJoin(joiner.vm()) || !context.mayReconfigure()) {
+      return;
     }
+    ReplicaConfig next = context.config.withLearner(joiner);
+    if (next.voters().size() == context.config.voters().size()) {
+      Optional<ReplicaId> silent = silentVoter(led, SILENT_ELECTIONS, now);
+      if (silent.isPresent()) {
+        next = next.without(silent.get());
+      } else if (next.members().size() > MOST_VOTERS) {
+        return;
+      }
+    }
+    replication.reconfigure(next);
+  }
+
+  /** Takes a voter out that has been silent for long, where enough are left. */
+  private void removeLost(long now) {
+    Leadership led = context.leadership;
+    boolean enough = context.config.voters().size() > FEWEST_VOTERS;
+    if (led != null && formation.open() && enough && context.mayReconfigure()) {
+      silentVoter(led, LOST_ELECTIONS, now)
+          .ifPresent(lost -> replication.reconfigure(context.config.without(lost)));
+    }
+  }
+
+  private Optional<ReplicaId> silentVoter(Leadership led, int elections, long now) {
+    return context.config.voters().stream()
+        .filter(voter -> !voter.equals(context.self))
+        .filter(
+            voter ->
+                silentFor(
+                    Math.max(led.startedAt(), led.progress(voter, 0).ackedSentAt), elections, now))
+        .findFirst();
+  }
+
+  private boolean silentFor(long since, int elections, long now) {
+    return now - since > elections * context.timing.electionMax();
   }
 }
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
@@ -17,12 +17,21 @@
   public sealed interface Body {}
 
   /**
-   * A replica without state looks for a cluster, or for founders.
+   * A replica without state looks for a cluster or for founders, or one with state looks for the
+   * cluster that took it out.
    *
    * @param blank whether the sender holds no state
    */
   public record Hello(boolean blank) implements Body {}
 
+  /**
+   * Tells the leader of a replica that wants to join.
+   *
+   * @param joiner the replica
+   * @param blank whether it holds no state
+   */
+  public record Introduce(ReplicaId joiner, boolean blank) implements Body {}
+
   /**
    * The founding configuration, sent to a founder that holds no state yet.
    *
--- a/core/src/main/java/org/clementinesail/core/state/Command.java
+++ b/core/src/main/java/org/clementinesail/core/state/Command.java
@@ -33,4 +33,11 @@
    * @param ending how it ended
    */
   record FinishCall(CallKey key, String requestId, CallEnding ending) implements Command {}
+
+  /**
+   * Puts a version of the desired state in force, unless a version as high is held.
+   *
+   * @param document the version
+   */
+  record PutDesired(DesiredDocument document) implements Command {}
 }
--- a/core/src/main/java/org/clementinesail/core/state/CommandResult.java
+++ b/core/src/main/java/org/clementinesail/core/state/CommandResult.java
@@ -62,4 +62,11 @@
 
   /** The request that ends the call does not hold the claim. */
   record FinishRefused() implements CommandResult {}
+
+  /**
+   * The desired state is at least as new as the version that was sent.
+   *
+   * @param version number of the version held
+   */
+  record DesiredHeld(long version) implements CommandResult {}
 }
--- a/core/src/main/java/org/clementinesail/core/state/SystemState.java
+++ b/core/src/main/java/org/clementinesail/core/state/SystemState.java
@@ -63,15 +63,21 @@
    * @param accepted accepted files, oldest first
    * @param claims claims, oldest first
    * @param clockMillis highest wall-clock time seen in a command
+   * @param desired newest version of the desired state
    */
   public record Image(
-      RulesText latest, List<AcceptedFile> accepted, List<Claim> claims, long clockMillis) {}
+      RulesText latest,
+      List<AcceptedFile> accepted,
+      List<Claim> claims,
+      long clockMillis,
+      DesiredDocument desired) {}
 
   private final LinkedHashMap<Long, AcceptedFile> accepted = new LinkedHashMap<>();
   private final LinkedHashMap<CallKey, Claim> claims = new LinkedHashMap<>();
   private final Deque<RulesDelta> recent = new ArrayDeque<>();
   private RulesText latest = RulesText.NONE;
   private long clockMillis;
+  private DesiredDocument desired = DesiredDocument.NONE;
 
   private SystemState() {}
 
@@ -91,13 +97,14 @@
     image.accepted().forEach(file -> state.accepted.put(file.number(), file));
     image.claims().forEach(claim -> state.claims.put(claim.key(), claim));
     state.clockMillis = image.clockMillis();
+    state.desired = image.desired();
     return state;
   }
 
   /** Returns everything a snapshot must hold. */
   public Image image() {
     return new Image(
-        latest, List.copyOf(accepted.values()), List.copyOf(claims.values()), clockMillis);
+        latest, List.copyOf(accepted.values()), List.copyOf(claims.values()), clockMillis, desired);
   }
 
   /** Returns the latest accepted file. */
@@ -105,6 +112,11 @@
     return latest;
   }
 
+  /** Returns the newest version of the desired state. */
+  public DesiredDocument desired() {
+    return desired;
+  }
+
   /** Returns how many claims are kept. */
   public int claimCount() {
     return claims.size();
@@ -139,9 +151,19 @@
     if (command instanceof Command.ClaimCall claim) {
       return claim(claim);
     }
+    if (command instanceof Command.PutDesired put) {
+      return put(put.document());
+    }
     return finish((Command.FinishCall) command);
   }
 
+  private CommandResult put(DesiredDocument document) {
+    if (document.version() > desired.version()) {
+      desired = document;
+    }
+    return new CommandResult.DesiredHeld(desired.version());
+  }
+
   private CommandResult submit(Command.SubmitRules submit) {
     RulesDelta delta = submit.delta();
     AcceptedFile known = accepted.get(delta.number());
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaCoreTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaCoreTest.java
@@ -251,7 +251,7 @@
       ReplicaCore restarted =
           new ReplicaCore(
               core.self(),
-              List.of("a", "b", "c"),
+              Membership.fixed(List.of("a", "b", "c")),
               uncommitted,
               SteppedCluster.TIMING,
               new Random(1),
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaRulesTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaRulesTest.java
@@ -22,7 +22,12 @@
         new StoredState(
             CLUSTER, term, null, new Snapshot(0, 0, ABC, new byte[0]), List.of(entries));
     return new ReplicaCore(
-        A, List.of("a", "b", "c"), stored, SteppedCluster.TIMING, new Random(1), 0);
+        A,
+        Membership.fixed(List.of("a", "b", "c")),
+        stored,
+        SteppedCluster.TIMING,
+        new Random(1),
+        0);
   }
 
   private static LogEntry noOp(long index, long term) {
--- a/core/src/test/java/org/clementinesail/core/replication/SteppedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SteppedCluster.java
@@ -67,7 +67,12 @@
     Node node = nodes.get(vm);
     node.core =
         new ReplicaCore(
-            new ReplicaId(vm, node.diskNumber), founders, node.disk, TIMING, random, now);
+            new ReplicaId(vm, node.diskNumber),
+            Membership.fixed(founders),
+            node.disk,
+            TIMING,
+            random,
+            now);
     node.applied = node.disk.snapshot().index();
     perform(node);
   }
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -19,6 +19,7 @@
 import org.clementinesail.core.replication.Snapshot;
 import org.clementinesail.core.state.Command;
 import org.clementinesail.core.state.CommandResult;
+import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.core.state.SystemState;
 import org.clementinesail.server.storage.ReplicaStore;
 import org.clementinesail.server.storage.StorageException;
@@ -36,6 +37,27 @@
   private static final int MAX_BATCH = 512;
   private static final long ENTRIES_PER_SNAPSHOT = 1_000;
 
+  /** Commands applied since the last snapshot that call for a next one; bounds log and restart. */
+  private static final long BYTES_PER_SNAPSHOT = 2_000_000;
+
+  /** Told of what is newly accepted; must not block. */
+  @FunctionalInterface
+  public interface StateListener {
+    /**
+     * A rule file has been accepted.
+     *
+     * @param number number of the file
+     */
+    void rulesAccepted(long number);
+
+    /**
+     * A version of the desired state has been accepted, or was found on the disk.
+     *
+     * @param document the version
+     */
+    default void desiredAccepted(DesiredDocument document) {}
+  }
+
   /** Something for the replica's thread to do. */
   @FunctionalInterface
   private interface Task {
@@ -49,7 +71,7 @@
   private final ReplicaCore core;
   private final ReplicaStore store;
   private final Consumer<ReplicaMessage> sender;
-  private final Consumer<Long> rulesAccepted;
+  private final StateListener listener;
   private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
   private final Map<Long, CompletableFuture<CommandResult>> proposals = new HashMap<>();
   private final Map<Long, Pending> appended = new HashMap<>();
@@ -57,6 +79,7 @@
   private final Thread thread;
   private SystemState state = SystemState.empty();
   private long applied;
+  private long bytesSinceSnapshot;
   private long nextTicket = 1;
   private volatile ReplicaStatus status = ReplicaStatus.NONE;
   private volatile boolean stopping;
@@ -67,17 +90,17 @@
    * @param core the replica
    * @param store its files
    * @param sender sends messages to other replicas; must not block
-   * @param rulesAccepted told of the number of each newly accepted rule file
+   * @param listener told of what is newly accepted, on the replica's thread
    */
   public ReplicaDriver(
       ReplicaCore core,
       ReplicaStore store,
       Consumer<ReplicaMessage> sender,
-      Consumer<Long> rulesAccepted) {
+      StateListener listener) {
     this.core = core;
     this.store = store;
     this.sender = sender;
-    this.rulesAccepted = rulesAccepted;
+    this.listener = listener;
     this.thread = new Thread(this::run, "replica");
   }
 
@@ -145,6 +168,15 @@
     return typed;
   }
 
+  /**
+   * Replaces the VMs that are greeted while no cluster is found.
+   *
+   * @param vms names of VMs
+   */
+  public void contacts(List<String> vms) {
+    submit(now -> core.contacts(vms));
+  }
+
   /** Hands leadership to another replica, if this one leads. */
   public void transferLeadership() {
     submit(core::transferLeadership);
@@ -219,6 +251,7 @@
       } else if (output instanceof Output.Restore restore) {
         state = StateCodec.decodeState(restore.snapshot().state());
         applied = restore.snapshot().index();
+        listener.desiredAccepted(state.desired());
       } else {
         answer(output);
       }
@@ -263,6 +296,8 @@
       return;
     }
     long rulesBefore = state.latest().number();
+    long desiredBefore = state.desired().version();
+    bytesSinceSnapshot += command.bytes().length;
     CommandResult result = state.apply(StateCodec.decodeCommand(command.bytes()));
     if (pending != null && pending.term() == entry.term()) {
       pending.result().complete(result);
@@ -270,7 +305,10 @@
       failPending(pending);
     }
     if (state.latest().number() > rulesBefore) {
-      rulesAccepted.accept(state.latest().number());
+      listener.rulesAccepted(state.latest().number());
+    }
+    if (state.desired().version() > desiredBefore) {
+      listener.desiredAccepted(state.desired());
     }
   }
 
@@ -281,9 +319,11 @@
   }
 
   private void compactIfDue() throws StorageException {
-    if (applied - core.snapshot().index() < ENTRIES_PER_SNAPSHOT) {
+    boolean few = applied - core.snapshot().index() < ENTRIES_PER_SNAPSHOT;
+    if (few && bytesSinceSnapshot < BYTES_PER_SNAPSHOT) {
       return;
     }
+    bytesSinceSnapshot = 0;
     Snapshot snapshot = core.compact(applied, StateCodec.encode(state.image()));
     store.compact(snapshot, core.entriesAfterSnapshot());
   }
--- a/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.clementinesail.core.replication.Membership;
 import org.clementinesail.core.replication.ReplicaCore;
 import org.clementinesail.core.replication.ReplicaId;
 import org.clementinesail.core.replication.Timing;
@@ -150,7 +151,7 @@
     ReplicaCore core =
         new ReplicaCore(
             new ReplicaId(settings.vm(), store.disk()),
-            settings.replicaVms(),
+            Membership.fixed(settings.replicaVms()),
             store.loaded(),
             TIMING,
             new SecureRandom(),
--- a/wire/src/main/java/org/clementinesail/wire/AcceptedPeer.java
+++ b/wire/src/main/java/org/clementinesail/wire/AcceptedPeer.java
@@ -1,11 +1,10 @@
 package org.clementinesail.wire;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-import java.net.InetSocketAddress;
-import java.util.function.BiConsumer;
 import org.clementinesail.wire.proto.AuthAnswer;
 import org.clementinesail.wire.proto.AuthChallenge;
 import org.clementinesail.wire.proto.AuthDone;
@@ -16,23 +15,27 @@
 
 /** The accepting side of a connection: challenges, then receives. */
 final class AcceptedPeer extends SimpleChannelInboundHandler<Frame> {
+  /** Told of connections whose other side has proved itself. */
+  interface Sessions {
+    /** The address is empty where the VM accepts no connections. */
+    void opened(String vm, String address, Channel channel);
+
+    void closed(String vm, Channel channel);
+  }
+
   private final String self;
   private final SharedSecret secret;
   private final PeerListener listener;
-  private final BiConsumer<String, InetSocketAddress> authenticated;
+  private final Sessions sessions;
   private final ByteString nonce;
   private @Nullable String vm;
 
-  AcceptedPeer(
-      String self,
-      SharedSecret secret,
-      PeerListener listener,
-      BiConsumer<String, InetSocketAddress> authenticated) {
+  AcceptedPeer(String self, SharedSecret secret, PeerListener listener, Sessions sessions) {
     super(Frame.class);
     this.self = self;
     this.secret = secret;
     this.listener = listener;
-    this.authenticated = authenticated;
+    this.sessions = sessions;
     this.nonce = secret.nonce();
   }
 
@@ -67,11 +70,18 @@
     }
     vm = answer.getVm();
     FrameCodec.allowLargeFrames(context.pipeline());
-    PeerAddress.parse(answer.getAddress())
-        .ifPresent(address -> authenticated.accept(answer.getVm(), address));
     ByteString proof = secret.prove("server", nonce, answer.getNonce(), self);
     context.writeAndFlush(
         Frame.newBuilder().setAuthDone(AuthDone.newBuilder().setMac(proof)).build());
+    sessions.opened(answer.getVm(), answer.getAddress(), context.channel());
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    String sender = vm;
+    if (sender != null) {
+      sessions.closed(sender, context.channel());
+    }
   }
 
   @Override
--- /dev/null
+++ b/wire/src/main/java/org/clementinesail/wire/FleetCodec.java
@@ -0,0 +1,149 @@
+package org.clementinesail.wire;
+
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.targets.LayerRange;
+import org.clementinesail.wire.proto.ReportImage;
+import org.clementinesail.wire.proto.StatementImage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Converts statements and reports of targets. Times travel as ages, since VMs do not share a clock;
+ * the way adds to them, by less than a second.
+ */
+public final class FleetCodec {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private FleetCodec() {}
+
+  /**
+   * Encodes a statement.
+   *
+   * @param statement the statement
+   * @param heardAt when a control VM heard it, in nanoseconds
+   * @param now present time in nanoseconds
+   */
+  public static StatementImage encode(TargetStatement statement, long heardAt, long now) {
+    StatementImage.Builder out =
+        StatementImage.newBuilder()
+            .setId(statement.id())
+            .setService(statement.service())
+            .setAddress(statement.address())
+            .setDataCentre(statement.dataCentre())
+            .setSlots(statement.slots())
+            .setPhase(encode(statement.phase()))
+            .setAccelerator(statement.accelerator())
+            .setStartedAtMillis(statement.startedAtMillis())
+            .setSequence(statement.sequence())
+            .setAgeMillis(age(heardAt, now));
+    LayerRange layers = statement.layers();
+    if (layers != null) {
+      out.setLayerFrom(layers.from()).setLayerTo(layers.to());
+    }
+    return out.build();
+  }
+
+  /**
+   * Decodes a statement.
+   *
+   * @param in the encoded statement
+   * @throws CodecException if its phase is unknown
+   */
+  public static TargetStatement decode(StatementImage in) {
+    return new TargetStatement(
+        in.getId(),
+        in.getService(),
+        in.getAddress(),
+        in.getDataCentre(),
+        in.getSlots(),
+        phase(in),
+        in.getAccelerator(),
+        layers(in.getLayerFrom(), in.getLayerTo()),
+        in.getStartedAtMillis(),
+        in.getSequence());
+  }
+
+  /**
+   * Encodes a report.
+   *
+   * @param report the report
+   * @param now present time in nanoseconds
+   */
+  public static ReportImage encode(EngineReport report, long now) {
+    ReportImage.Builder out =
+        ReportImage.newBuilder()
+            .setId(report.id())
+            .setReachable(report.reachable())
+            .setRunning(report.running())
+            .setWaiting(report.waiting())
+            .setKvUsed(report.kvUsed())
+            .setKvTotal(report.kvTotal())
+            .setPace(report.pace())
+            .setBusy(report.busy())
+            .setOrderSequence(report.orderSequence())
+            .setAgeMillis(age(report.reportedAt(), now));
+    LayerRange layers = report.layers();
+    if (layers != null) {
+      out.setLayerFrom(layers.from()).setLayerTo(layers.to());
+    }
+    return out.build();
+  }
+
+  /**
+   * Decodes a report.
+   *
+   * @param in the encoded report
+   * @param now present time in nanoseconds
+   */
+  public static EngineReport decode(ReportImage in, long now) {
+    return new EngineReport(
+        in.getId(),
+        in.getReachable(),
+        in.getRunning(),
+        in.getWaiting(),
+        in.getKvUsed(),
+        in.getKvTotal(),
+        in.getPace(),
+        in.getBusy(),
+        in.getOrderSequence(),
+        layers(in.getLayerFrom(), in.getLayerTo()),
+        at(in.getAgeMillis(), now));
+  }
+
+  /**
+   * Returns the time that an age stands for.
+   *
+   * @param ageMillis the age
+   * @param now present time in nanoseconds
+   */
+  public static long at(int ageMillis, long now) {
+    return now - ageMillis * NANOS_PER_MILLI;
+  }
+
+  private static StatementImage.Phase encode(Phase phase) {
+    return switch (phase) {
+      case READY -> StatementImage.Phase.READY;
+      case DRAINING -> StatementImage.Phase.DRAINING;
+      case GONE -> StatementImage.Phase.GONE;
+    };
+  }
+
+  private static Phase phase(StatementImage in) {
+    return switch (in.getPhase()) {
+      case READY -> Phase.READY;
+      case DRAINING -> Phase.DRAINING;
+      case GONE -> Phase.GONE;
+      case UNRECOGNIZED ->
+          throw new CodecException("a statement of " + in.getId() + " has no known phase");
+    };
+  }
+
+  private static @Nullable LayerRange layers(int from, int to) {
+    return to > from ? new LayerRange(from, to) : null;
+  }
+
+  private static int age(long at, long now) {
+    return (int) Math.max(0, Math.min(Integer.MAX_VALUE, (now - at) / NANOS_PER_MILLI));
+  }
+}
--- a/wire/src/main/java/org/clementinesail/wire/PeerLink.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerLink.java
@@ -47,7 +47,7 @@
 
   PeerLink(
       String self,
-      InetSocketAddress ownAddress,
+      @Nullable InetSocketAddress ownAddress,
       String vm,
       InetSocketAddress address,
       SharedSecret secret,
@@ -55,7 +55,7 @@
       EventLoopGroup group,
       PeerListener listener) {
     this.self = self;
-    this.ownAddress = PeerAddress.format(ownAddress);
+    this.ownAddress = ownAddress == null ? "" : PeerAddress.format(ownAddress);
     this.vm = vm;
     this.address = address;
     this.secret = secret;
--- a/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
@@ -35,13 +35,14 @@
   private static final int SILENCE_MS = 5_000;
 
   private final String self;
-  private final InetSocketAddress bind;
+  private final @Nullable InetSocketAddress bind;
   private final SharedSecret secret;
   private final PeerListener listener;
   private final Traffic traffic = new Traffic();
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
+  private final boolean ownsGroup;
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<String, Channel> accepted = new ConcurrentHashMap<>();
   private @Nullable Channel server;
 
   /**
@@ -59,42 +60,120 @@
       Map<String, InetSocketAddress> peers,
       SharedSecret secret,
       PeerListener listener) {
+    this(
+        self,
+        bind,
+        secret,
+        listener,
+        new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory()),
+        true);
+    peers.forEach((vm, address) -> links.put(vm, link(vm, address)));
+  }
+
+  private PeerNetwork(
+      String self,
+      @Nullable InetSocketAddress bind,
+      SharedSecret secret,
+      PeerListener listener,
+      EventLoopGroup group,
+      boolean ownsGroup) {
     this.self = self;
     this.bind = bind;
     this.secret = secret;
     this.listener = listener;
-    peers.forEach(
-        (vm, address) ->
-            links.put(vm, new PeerLink(self, bind, vm, address, secret, traffic, group, listener)));
+    this.group = group;
+    this.ownsGroup = ownsGroup;
+  }
+
+  /**
+   * Creates a network of VMs that are named by their addresses, and found while it runs.
+   *
+   * @param self name of this VM
+   * @param bind address to accept connections at, or null to accept none
+   * @param secret secret that all VMs share
+   * @param listener receives frames
+   * @param group threads to run on; stays open when the network is closed
+   */
+  public static PeerNetwork byAddress(
+      String self,
+      @Nullable InetSocketAddress bind,
+      SharedSecret secret,
+      PeerListener listener,
+      EventLoopGroup group) {
+    return new PeerNetwork(self, bind, secret, listener, group, false);
+  }
+
+  private PeerLink link(String vm, InetSocketAddress address) {
+    return new PeerLink(self, bind, vm, address, secret, traffic, group, listener);
+  }
+
+  /**
+   * Keeps connections to just the given VMs, which are named by their addresses.
+   *
+   * @param vms IP numbers and ports
+   */
+  public void connectTo(Set<String> vms) {
+    for (String vm : vms) {
+      if (!vm.equals(self) && !links.containsKey(vm)) {
+        PeerAddress.parse(vm).ifPresent(address -> learn(vm, address));
+      }
+    }
+    for (String vm : Set.copyOf(links.keySet())) {
+      if (!vms.contains(vm)) {
+        PeerLink dropped = links.remove(vm);
+        if (dropped != null) {
+          dropped.close();
+        }
+      }
+    }
   }
 
   /** Accepts connections and begins to connect to the other VMs. */
   public void start() {
-    server =
-        new ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(new IdleStateHandler(SILENCE_MS, 0, 0, TimeUnit.MILLISECONDS));
-                    FrameCodec.install(channel.pipeline(), traffic);
-                    channel
-                        .pipeline()
-                        .addLast(new AcceptedPeer(self, secret, listener, PeerNetwork.this::learn));
-                  }
-                })
-            .bind(bind)
-            .syncUninterruptibly()
-            .channel();
+    if (bind != null) {
+      server = listen(bind);
+    }
     links.values().forEach(PeerLink::connect);
   }
 
+  private Channel listen(InetSocketAddress at) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new IdleStateHandler(SILENCE_MS, 0, 0, TimeUnit.MILLISECONDS));
+                FrameCodec.install(channel.pipeline(), traffic);
+                channel
+                    .pipeline()
+                    .addLast(new AcceptedPeer(self, secret, listener, new Sessions()));
+              }
+            })
+        .bind(at)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /** Keeps the accepted connections, for VMs that accept none themselves. */
+  private final class Sessions implements AcceptedPeer.Sessions {
+    @Override
+    public void opened(String vm, String address, Channel channel) {
+      accepted.put(vm, channel);
+      PeerAddress.parse(address).ifPresent(at -> learn(vm, at));
+    }
+
+    @Override
+    public void closed(String vm, Channel channel) {
+      accepted.remove(vm, channel);
+    }
+  }
+
   /**
    * Sends a frame if a connection is open and takes it.
    *
@@ -104,7 +183,20 @@
    */
   public boolean send(String vm, Frame frame) {
     PeerLink link = links.get(vm);
-    return link != null && link.send(frame);
+    if (link != null) {
+      return link.send(frame);
+    }
+    Channel channel = accepted.get(vm);
+    if (channel == null || !channel.isWritable()) {
+      return false;
+    }
+    channel.writeAndFlush(frame, channel.voidPromise());
+    return true;
+  }
+
+  /** Returns the names of the VMs that have connected to this one and accept no connections. */
+  public Collection<String> acceptedOnly() {
+    return accepted.keySet().stream().filter(vm -> !links.containsKey(vm)).toList();
   }
 
   /**
@@ -127,7 +219,7 @@
     if (vm.equals(self) || links.containsKey(vm)) {
       return;
     }
-    PeerLink link = new PeerLink(self, bind, vm, address, secret, traffic, group, listener);
+    PeerLink link = link(vm, address);
     if (links.putIfAbsent(vm, link) == null) {
       Logger.info("VM {} at {} has joined", vm, address);
       link.connect();
@@ -145,6 +237,10 @@
     if (server != null) {
       server.close().syncUninterruptibly();
     }
+    accepted.values().forEach(Channel::close);
+    if (!ownsGroup) {
+      return;
+    }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 }
--- a/wire/src/main/java/org/clementinesail/wire/ReplicaCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/ReplicaCodec.java
@@ -15,6 +15,7 @@
 import org.clementinesail.wire.proto.Entry;
 import org.clementinesail.wire.proto.Hello;
 import org.clementinesail.wire.proto.InstallSnapshot;
+import org.clementinesail.wire.proto.Introduce;
 import org.clementinesail.wire.proto.Replica;
 import org.clementinesail.wire.proto.ReplicaEnvelope;
 import org.clementinesail.wire.proto.SnapshotImage;
@@ -60,6 +61,8 @@
     } else if (body instanceof ReplicaMessage.InstallSnapshot b) {
       out.setInstall(
           InstallSnapshot.newBuilder().setSnapshot(encode(b.snapshot())).setRound(b.round()));
+    } else if (body instanceof ReplicaMessage.Introduce b) {
+      out.setIntroduce(Introduce.newBuilder().setJoiner(encode(b.joiner())).setBlank(b.blank()));
     } else {
       out.setTakeOver(true);
     }
@@ -97,6 +100,9 @@
           new ReplicaMessage.InstallSnapshot(
               decode(in.getInstall().getSnapshot()), in.getInstall().getRound());
       case TAKE_OVER -> new ReplicaMessage.TakeOver();
+      case INTRODUCE ->
+          new ReplicaMessage.Introduce(
+              decode(in.getIntroduce().getJoiner()), in.getIntroduce().getBlank());
       case BODY_NOT_SET -> throw new CodecException("a replica message has no known body");
     };
   }
--- a/wire/src/main/java/org/clementinesail/wire/StateCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/StateCodec.java
@@ -2,12 +2,14 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnsafeByteOperations;
 import org.clementinesail.core.rules.RulesDelta;
 import org.clementinesail.core.rules.RulesText;
 import org.clementinesail.core.state.CallEnding;
 import org.clementinesail.core.state.CallKey;
 import org.clementinesail.core.state.Command;
 import org.clementinesail.core.state.CommandResult;
+import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.core.state.SystemState;
 import org.clementinesail.wire.proto.AcceptedFileImage;
 import org.clementinesail.wire.proto.Answer;
@@ -17,6 +19,7 @@
 import org.clementinesail.wire.proto.ClaimHeld;
 import org.clementinesail.wire.proto.ClaimImage;
 import org.clementinesail.wire.proto.CommandImage;
+import org.clementinesail.wire.proto.DesiredImage;
 import org.clementinesail.wire.proto.FinishCall;
 import org.clementinesail.wire.proto.ResultImage;
 import org.clementinesail.wire.proto.RulesAccepted;
@@ -54,10 +57,33 @@
               .setKey(encode(c.key()))
               .setRequestId(c.requestId())
               .setEnding(encode(c.ending())));
+    } else if (command instanceof Command.PutDesired c) {
+      out.setDesired(encode(c.document()));
     }
     return out.build();
   }
 
+  /**
+   * Encodes a version of the desired state.
+   *
+   * @param document the version
+   */
+  public static DesiredImage encode(DesiredDocument document) {
+    return DesiredImage.newBuilder()
+        .setVersion(document.version())
+        .setDocument(UnsafeByteOperations.unsafeWrap(document.compressed()))
+        .build();
+  }
+
+  /**
+   * Decodes a version of the desired state.
+   *
+   * @param in the encoded version
+   */
+  public static DesiredDocument decode(DesiredImage in) {
+    return new DesiredDocument(in.getVersion(), in.getDocument().toByteArray());
+  }
+
   /**
    * Decodes a command from the log.
    *
@@ -96,6 +122,7 @@
               decode(in.getFinish().getKey()),
               in.getFinish().getRequestId(),
               decode(in.getFinish().getEnding()));
+      case DESIRED -> new Command.PutDesired(decode(in.getDesired()));
       case KIND_NOT_SET -> throw new CodecException("a command is of no known kind");
     };
   }
@@ -129,6 +156,8 @@
       out.setClaimMismatch(true);
     } else if (result instanceof CommandResult.FinishRecorded) {
       out.setFinishRecorded(true);
+    } else if (result instanceof CommandResult.DesiredHeld r) {
+      out.setDesiredHeld(r.version());
     } else {
       out.setFinishRefused(true);
     }
@@ -162,6 +191,7 @@
       case CLAIM_MISMATCH -> new CommandResult.ClaimMismatch();
       case FINISH_RECORDED -> new CommandResult.FinishRecorded();
       case FINISH_REFUSED -> new CommandResult.FinishRefused();
+      case DESIRED_HELD -> new CommandResult.DesiredHeld(in.getDesiredHeld());
       case KIND_NOT_SET -> throw new CodecException("a result is of no known kind");
     };
   }
@@ -176,7 +206,8 @@
         StateImage.newBuilder()
             .setRulesNumber(image.latest().number())
             .setRulesText(image.latest().text())
-            .setClockMillis(image.clockMillis());
+            .setClockMillis(image.clockMillis())
+            .setDesired(encode(image.desired()));
     for (SystemState.AcceptedFile file : image.accepted()) {
       out.addAccepted(
           AcceptedFileImage.newBuilder()
@@ -209,7 +240,8 @@
                               f.getNumber(), f.getDigest(), f.getOperator()))
                   .toList(),
               in.getClaimsList().stream().map(StateCodec::decode).toList(),
-              in.getClockMillis()));
+              in.getClockMillis(),
+              decode(in.getDesired())));
     } catch (InvalidProtocolBufferException e) {
       throw new CodecException("a snapshot holds bytes that are not a state", e);
     }
