--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -84,6 +84,9 @@
    */
   public boolean heard(TargetStatement statement, long heardAt) {
     Member held = members.get(statement.id());
+    if (statement.phase() == Phase.GONE && statement.startedAtMillis() == 0 && held != null) {
+      return left(statement.id(), heardAt).isPresent() && held.statement().phase() != Phase.GONE;
+    }
     if (held == null) {
       members.put(statement.id(), new Member(statement, heardAt, null, heardAt - 1));
       return true;
@@ -110,11 +113,11 @@
   }
 
   /**
-   * Takes a goodbye, which may come from a target that this VM has not heard of.
+   * Takes a goodbye.
    *
    * @param id identity of the target
    * @param now present time in nanoseconds
-   * @return the statement now held
+   * @return the statement now held, or empty if the target is not known
    */
   public Optional<TargetStatement> left(String id, long now) {
     Member held = members.get(id);
--- a/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
@@ -55,6 +55,15 @@
     return sequence > other.sequence;
   }
 
+  /**
+   * Returns the goodbye of a target of which nothing else is known.
+   *
+   * @param id identity of the target
+   */
+  public static TargetStatement goodbye(String id) {
+    return new TargetStatement(id, "", "", "", 0, Phase.GONE, "", null, 0, 0);
+  }
+
   /**
    * Returns this statement with another phase.
    *
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -0,0 +1,147 @@
+package org.clementinesail.server.fleet;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/**
+ * A small HTTP server for calls that are answered whole.
+ *
+ * <pre>{@code
+ * HttpEndpoint.listen(loop, address, 65_536, (request, reply) -> reply.accept(HttpEndpoint.text(200, "ok")));
+ * }</pre>
+ */
+public final class HttpEndpoint {
+  private HttpEndpoint() {}
+
+  /** Answers calls on the event loop, at once or later. */
+  @FunctionalInterface
+  public interface Handler {
+    /**
+     * Answers a call.
+     *
+     * @param request the call, released after the method returns
+     * @param reply takes the answer, once, on the event loop
+     */
+    void handle(FullHttpRequest request, Consumer<FullHttpResponse> reply);
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @param loop the event loop
+   * @param address where to listen
+   * @param maxBodyBytes longest body that is read
+   * @param handler answers calls
+   * @return the listening channel
+   */
+  public static Channel listen(
+      EventLoop loop, InetSocketAddress address, int maxBodyBytes, Handler handler) {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new HttpServerCodec());
+                channel.pipeline().addLast(new HttpObjectAggregator(maxBodyBytes));
+                channel.pipeline().addLast(new Calls(loop, handler));
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /**
+   * Returns an answer with a short text.
+   *
+   * @param status HTTP status
+   * @param contentType value of the Content-Type header
+   * @param body the text
+   */
+  public static FullHttpResponse text(int status, String contentType, String body) {
+    return bytes(status, contentType, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Returns an answer.
+   *
+   * @param status HTTP status
+   * @param contentType value of the Content-Type header
+   * @param body the body, not copied
+   */
+  public static FullHttpResponse bytes(int status, String contentType, byte[] body) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    return response;
+  }
+
+  private static final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final EventLoop loop;
+    private final Handler handler;
+
+    Calls(EventLoop loop, Handler handler) {
+      super(FullHttpRequest.class);
+      this.loop = loop;
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (request.decoderResult().isFailure()) {
+        context.close();
+        return;
+      }
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      handler.handle(request, response -> reply(context, keepAlive, response));
+    }
+
+    private void reply(
+        ChannelHandlerContext context, boolean keepAlive, FullHttpResponse response) {
+      if (!loop.inEventLoop()) {
+        loop.execute(() -> reply(context, keepAlive, response));
+        return;
+      }
+      HttpUtil.setContentLength(response, response.content().readableBytes());
+      if (!keepAlive) {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      var written = context.writeAndFlush(response);
+      if (!keepAlive) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
@@ -0,0 +1,187 @@
+package org.clementinesail.server.fleet;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.desired.EngineModel;
+import org.clementinesail.core.desired.Service;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.placement.PlacementController;
+import org.clementinesail.core.placement.PlacementController.Order;
+import org.clementinesail.server.logging.DecisionLog;
+import org.clementinesail.server.proxy.AnswerListener;
+import org.clementinesail.server.proxy.EngineDialect;
+import org.clementinesail.server.proxy.EngineProbe;
+import org.clementinesail.server.proxy.TargetPool;
+
+/**
+ * On the leading control VM: asks engines for reports and gives the orders that placement decides.
+ * Confined to the event loop.
+ */
+public final class PlacementLoop {
+  /** How often orders are decided. */
+  private static final long DECIDE_MS = 250;
+
+  /** How often an engine that holds layers is asked for a report. */
+  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  /** How often an engine that holds none, or works on an order, is asked. */
+  private static final long REPORT_SOON_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  /** How long an engine that gave no report is set aside unless it is silent again. */
+  private static final long SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
+  private static final int CONFLICT = 409;
+  private static final long ORDER_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private final EventLoop loop;
+  private final FleetHub hub;
+  private final BooleanSupplier leading;
+  private final Supplier<Optional<DesiredState>> desired;
+  private final EngineDialect dialect;
+  private final TargetPool pool;
+  private final EngineProbe probe;
+  private final DecisionLog log;
+  private final Map<String, PlacementController> controllers = new HashMap<>();
+  private final Map<String, Long> askedAt = new HashMap<>();
+
+  /**
+   * Creates a loop that does not run yet.
+   *
+   * @param loop the event loop
+   * @param hub what is known of targets
+   * @param leading whether this VM leads
+   * @param desired the desired state in force
+   * @param dialect formats of reports and orders
+   * @param pool connections to engines
+   * @param log lines for decisions
+   */
+  public PlacementLoop(
+      EventLoop loop,
+      FleetHub hub,
+      BooleanSupplier leading,
+      Supplier<Optional<DesiredState>> desired,
+      EngineDialect dialect,
+      TargetPool pool,
+      DecisionLog log) {
+    this.loop = loop;
+    this.hub = hub;
+    this.leading = leading;
+    this.desired = desired;
+    this.dialect = dialect;
+    this.pool = pool;
+    this.probe = new EngineProbe(loop, pool, dialect);
+    this.log = log;
+  }
+
+  /** Begins to run. */
+  public void start() {
+    loop.scheduleWithFixedDelay(this::turn, DECIDE_MS, DECIDE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void turn() {
+    if (!leading.getAsBoolean()) {
+      controllers.clear();
+      return;
+    }
+    desired.get().ifPresent(state -> state.services().forEach(this::turn));
+  }
+
+  private void turn(Service service) {
+    EngineModel model = service.engine();
+    if (model == null || model.layers() == 0) {
+      return;
+    }
+    long now = System.nanoTime();
+    for (Fleet.Member member : hub.fleet().ready(service.name(), now)) {
+      askIfDue(member, now);
+    }
+    PlacementController controller =
+        controllers.computeIfAbsent(service.name(), key -> new PlacementController());
+    List<Order> orders = controller.decide(service.name(), model, hub.fleet(), now);
+    orders.forEach(order -> give(order, controller));
+  }
+
+  private void askIfDue(Fleet.Member member, long now) {
+    String id = member.statement().id();
+    EngineReport report = member.report();
+    boolean settled = report != null && report.layers() != null && !report.busy();
+    long interval = settled ? REPORT_NANOS : REPORT_SOON_NANOS;
+    Long last = askedAt.get(id);
+    if (last != null && now - last < interval) {
+      return;
+    }
+    askedAt.put(id, now);
+    probe.ask(id, member.statement().address(), answer -> learned(id, answer));
+  }
+
+  private void learned(String id, EngineProbe.Answer answer) {
+    long now = System.nanoTime();
+    if (answer instanceof EngineProbe.Reported reported) {
+      hub.reported(reported.detail().report(), now);
+    } else if (answer instanceof EngineProbe.Silent silent) {
+      log.write("engine silent", "target", id, "reason", silent.reason());
+      hub.reported(silent.report(), now + SUSPECT_NANOS);
+    }
+  }
+
+  private void give(Order order, PlacementController controller) {
+    log.write(
+        "order",
+        "target",
+        order.id(),
+        "layers",
+        order.layers(),
+        "expected_sequence",
+        order.expectedSequence());
+    pool.send(
+        order.address(),
+        "",
+        dialect.orderRequest(order),
+        ORDER_IDLE_NANOS,
+        new OrderAnswer(order, controller));
+  }
+
+  private final class OrderAnswer implements AnswerListener {
+    private final Order order;
+    private final PlacementController controller;
+    private int status;
+
+    OrderAnswer(Order order, PlacementController controller) {
+      this.order = order;
+      this.controller = controller;
+    }
+
+    @Override
+    public void head(HttpResponse head) {
+      status = head.status().code();
+    }
+
+    @Override
+    public void content(ByteBuf content) {}
+
+    @Override
+    public void end() {
+      log.write("order answered", "target", order.id(), "status", status);
+      if (status >= 400 && status != CONFLICT) {
+        controller.refused(order.id());
+      }
+      askedAt.remove(order.id());
+    }
+
+    @Override
+    public void broken(Breakage why, String reason) {
+      // The order stays pending: it may have been taken, or still be carried out.
+      log.write("order unanswered", "target", order.id(), "why", why, "reason", reason);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/logging/DecisionLog.java
@@ -0,0 +1,128 @@
+package org.clementinesail.server.logging;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.clementinesail.core.limits.TokenBucket;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One line for each decision on a request or belief, as JSON, in bounded volume.
+ *
+ * <p>Each event has a budget of lines a second; a line says how many of its event were left out
+ * before it. A thread of its own writes, and a full queue drops lines rather than wait.
+ *
+ * <pre>{@code
+ * log.write("refused", "request", id, "reason", "no path", "age_ms", 120);
+ * }</pre>
+ */
+public final class DecisionLog {
+  /** Lines a second for each event; enough to explain single failures, little at full load. */
+  private static final double LINES_PER_SECOND = 20;
+
+  /** Lines that wait to be written; some seconds' worth at the budgets above. */
+  private static final int QUEUE_LINES = 1_024;
+
+  private final String vm;
+  private final PrintStream out;
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final Map<String, Budget> budgets = new HashMap<>();
+  private final AtomicLong dropped = new AtomicLong();
+
+  private static final class Budget {
+    final TokenBucket lines = new TokenBucket(LINES_PER_SECOND, System.nanoTime());
+    long leftOut;
+  }
+
+  /**
+   * Creates a log and starts its thread.
+   *
+   * @param vm name of this VM
+   * @param out where lines go
+   */
+  public DecisionLog(String vm, PrintStream out) {
+    this.vm = vm;
+    this.out = out;
+    Thread thread = new Thread(this::drain, "decision-log");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /**
+   * Writes a line unless the event's budget is used up.
+   *
+   * @param event kind of decision
+   * @param fields names and values in turn
+   */
+  public void write(String event, @Nullable Object... fields) {
+    long leftOut;
+    synchronized (budgets) {
+      Budget budget = budgets.computeIfAbsent(event, key -> new Budget());
+      if (!budget.lines.tryTake(System.nanoTime())) {
+        budget.leftOut++;
+        return;
+      }
+      leftOut = budget.leftOut;
+      budget.leftOut = 0;
+    }
+    StringBuilder line = new StringBuilder(160);
+    line.append("{\"time\":\"").append(Instant.now()).append("\",\"vm\":\"").append(vm);
+    line.append("\",\"event\":\"").append(event).append('"');
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      line.append(",\"").append(fields[i]).append("\":");
+      append(line, fields[i + 1]);
+    }
+    if (leftOut > 0) {
+      line.append(",\"left_out\":").append(leftOut);
+    }
+    if (!queue.offer(line.append('}').toString())) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Returns how many lines were dropped because writing was slow. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  private static void append(StringBuilder line, @Nullable Object value) {
+    if (value instanceof Number || value instanceof Boolean) {
+      line.append(value);
+      return;
+    }
+    line.append('"');
+    String text = String.valueOf(value);
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c == '"' || c == '\\') {
+        line.append('\\').append(c);
+      } else if (c < ' ') {
+        line.append(' ');
+      } else {
+        line.append(c);
+      }
+    }
+    line.append('"');
+  }
+
+  private void drain() {
+    try {
+      while (true) {
+        StringBuilder batch = new StringBuilder(queue.take()).append('\n');
+        for (String more = queue.poll(); more != null; more = queue.poll()) {
+          batch.append(more).append('\n');
+        }
+        byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+        out.write(bytes, 0, bytes.length);
+        out.flush();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -0,0 +1,233 @@
+package org.clementinesail.server.nodes;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.state.DesiredDocument;
+import org.clementinesail.server.fleet.ControlDialect;
+import org.clementinesail.server.fleet.Documents;
+import org.clementinesail.server.fleet.HttpEndpoint;
+import org.clementinesail.server.logging.DecisionLog;
+import org.clementinesail.server.proxy.Dialect;
+import org.clementinesail.server.proxy.EngineDialect;
+import org.clementinesail.server.proxy.FrontMetrics;
+import org.clementinesail.server.proxy.FrontServer;
+import org.clementinesail.server.proxy.RoutingState;
+import org.clementinesail.wire.FleetCodec;
+import org.clementinesail.wire.PeerListener;
+import org.clementinesail.wire.PeerNetwork;
+import org.clementinesail.wire.SharedSecret;
+import org.clementinesail.wire.StateCodec;
+import org.clementinesail.wire.proto.FleetUpdate;
+import org.clementinesail.wire.proto.Frame;
+
+/**
+ * A VM that carries traffic: takes callers' requests, and hears the desired state and the fleet
+ * from the control VMs.
+ *
+ * <pre>{@code
+ * EntryNode node = new EntryNode(settings, dialect, engineDialect, controlDialect, log);
+ * node.start();
+ * }</pre>
+ */
+public final class EntryNode implements Node {
+  private static final int SMALL_BODY_BYTES = 4_096;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  /** Time for the balancer to notice that the VM is not ready: two misses a second apart. */
+  private static final long UNNOTICED_MS = 2_300;
+
+  /** Time that is left unused before the process is killed. */
+  private static final long STOP_MARGIN_MS = 700;
+
+  private static final long STOP_CHECK_MS = 50;
+
+  /** How long a caller's connection is idle before a stopping VM closes it. */
+  private static final long STOP_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  private final NodeSettings settings;
+  private final ControlDialect controlDialect;
+  private final DecisionLog log;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final RoutingState routing;
+  private final FrontMetrics metrics = new FrontMetrics();
+  private final FrontServer front;
+  private final PeerNetwork network;
+  private final Subscriptions subscriptions;
+  private volatile boolean stopping;
+
+  /**
+   * Creates a node that does not run yet.
+   *
+   * @param settings what the process is told
+   * @param dialect names of callers and targets
+   * @param engines formats of engines' reports
+   * @param controlDialect reads the desired state
+   * @param log lines for decisions
+   */
+  public EntryNode(
+      NodeSettings settings,
+      Dialect dialect,
+      EngineDialect engines,
+      ControlDialect controlDialect,
+      DecisionLog log) {
+    this.settings = settings;
+    this.controlDialect = controlDialect;
+    this.log = log;
+    RoutingState.Site site =
+        new RoutingState.Site(
+            settings.dataCentre(),
+            settings.leaseNanos(),
+            settings.retryRatio(),
+            settings.retrySlack());
+    this.routing = new RoutingState(site, RandomGenerator.getDefault());
+    this.front = new FrontServer(loop, dialect, engines, routing, metrics, log);
+    this.network =
+        PeerNetwork.byAddress(
+            settings.name(), null, new SharedSecret(settings.peerSecret()), new Frames(), group);
+    this.subscriptions =
+        new Subscriptions(
+            network, true, () -> routing.desired().map(DesiredState::version).orElse(0L));
+  }
+
+  @Override
+  public void start() {
+    network.start();
+    loop.execute(
+        () -> {
+          subscriptions.seeds(settings.seeds());
+          subscriptions.start(loop);
+        });
+    front.listen(Objects.requireNonNull(settings.frontAddress(), "an entry VM needs an address"));
+    InetSocketAddress ready = settings.readyAddress();
+    if (ready != null) {
+      HttpEndpoint.listen(loop, ready, SMALL_BODY_BYTES, this::tell);
+    }
+    log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
+  }
+
+  @Override
+  public void seeds(List<String> seeds) {
+    loop.execute(() -> subscriptions.seeds(seeds));
+  }
+
+  private void tell(FullHttpRequest request, Consumer<FullHttpResponse> reply) {
+    if (request.uri().startsWith("/metrics")) {
+      reply.accept(HttpEndpoint.text(OK, "text/plain", metrics.text()));
+      return;
+    }
+    boolean ready = !stopping && routing.canServe(System.nanoTime());
+    reply.accept(HttpEndpoint.text(ready ? OK : UNAVAILABLE, "text/plain", ""));
+  }
+
+  @Override
+  public void stop() {
+    stopping = true;
+    long began = System.nanoTime();
+    log.write("stopping");
+    loop.execute(front::drain);
+    try {
+      while (!drained(began)) {
+        TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    log.write("stopped", "unfinished", front.inProgress());
+    front.close();
+    network.close();
+  }
+
+  private boolean drained(long began) {
+    long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+    if (sinceMs < UNNOTICED_MS) {
+      return false;
+    }
+    loop.execute(() -> front.closeIdle(STOP_IDLE_NANOS));
+    boolean idle = front.inProgress() == 0 && front.connections() == 0;
+    return idle || sinceMs > settings.graceMillis() - STOP_MARGIN_MS;
+  }
+
+  /** Takes frames from control VMs. */
+  private final class Frames implements PeerListener {
+    @Override
+    public void received(String vm, Frame frame) {
+      if (frame.hasFleet()) {
+        update(frame.getFleet());
+      } else if (frame.hasDesired()) {
+        desired(vm, StateCodec.decode(frame.getDesired()));
+      }
+    }
+
+    @Override
+    public void connected(String vm) {
+      log.write("control VM connected", "peer", vm);
+      subscriptions.connected(vm);
+    }
+  }
+
+  private void update(FleetUpdate update) {
+    long now = System.nanoTime();
+    update
+        .getStatementsList()
+        .forEach(
+            image -> {
+              TargetStatement statement = FleetCodec.decode(image);
+              long heardAt = FleetCodec.at(image.getAgeMillis(), now);
+              if (routing.fleet().heard(statement, heardAt)) {
+                log.write(
+                    "target",
+                    "target",
+                    statement.id(),
+                    "phase",
+                    statement.phase(),
+                    "layers",
+                    String.valueOf(statement.layers()),
+                    "age_ms",
+                    image.getAgeMillis());
+              }
+            });
+    // An engine that a control VM could not reach is set aside until its next report.
+    update
+        .getReportsList()
+        .forEach(
+            r ->
+                routing.reported(
+                    FleetCodec.decode(r, now), now + TimeUnit.MILLISECONDS.toNanos(1_800)));
+    if (update.getTrafficVms() > 0) {
+      routing.trafficVms(update.getTrafficVms());
+    }
+    subscriptions.controlVms(update.getControlVmsList());
+  }
+
+  private void desired(String vm, DesiredDocument document) {
+    long held = routing.desired().map(DesiredState::version).orElse(0L);
+    if (document.version() <= held) {
+      return;
+    }
+    DesiredState.Checked checked = controlDialect.desired(Documents.unpack(document));
+    if (checked instanceof DesiredState.Valid valid && routing.desired(valid.state())) {
+      log.write("desired state in force", "version", document.version(), "from", vm);
+    } else if (checked instanceof DesiredState.Invalid invalid) {
+      log.write(
+          "accepted desired state is invalid",
+          "version",
+          document.version(),
+          "reason",
+          invalid.reason());
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -0,0 +1,72 @@
+package org.clementinesail.server.nodes;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.clementinesail.wire.PeerNetwork;
+import org.clementinesail.wire.proto.Frame;
+import org.clementinesail.wire.proto.Subscribe;
+
+/** Keeps this VM connected and subscribed to all control VMs. Confined to the event loop. */
+final class Subscriptions {
+  /** How often subscriptions are renewed; a version that was missed is sent on the renewal. */
+  private static final long RENEW_MS = 1_000;
+
+  private final PeerNetwork network;
+  private final boolean carriesTraffic;
+  private final LongSupplier desiredVersion;
+  private Set<String> seeds = Set.of();
+  private Set<String> controlVms = Set.of();
+
+  Subscriptions(PeerNetwork network, boolean carriesTraffic, LongSupplier desiredVersion) {
+    this.network = network;
+    this.carriesTraffic = carriesTraffic;
+    this.desiredVersion = desiredVersion;
+  }
+
+  void start(EventLoop loop) {
+    loop.scheduleWithFixedDelay(this::renew, RENEW_MS, RENEW_MS, TimeUnit.MILLISECONDS);
+  }
+
+  void seeds(List<String> next) {
+    seeds = Set.copyOf(next);
+    connect();
+  }
+
+  void controlVms(List<String> next) {
+    if (!next.isEmpty() && !controlVms.equals(new HashSet<>(next))) {
+      controlVms = Set.copyOf(next);
+      connect();
+    }
+  }
+
+  /** Asks for everything over a new connection, since news may have been lost with the old one. */
+  void connected(String vm) {
+    network.send(vm, frame(true));
+  }
+
+  private void connect() {
+    Set<String> wanted = new HashSet<>(seeds);
+    wanted.addAll(controlVms);
+    network.connectTo(wanted);
+  }
+
+  private void renew() {
+    connect();
+    Frame frame = frame(false);
+    network.peers().forEach(vm -> network.send(vm, frame));
+  }
+
+  private Frame frame(boolean everything) {
+    return Frame.newBuilder()
+        .setSubscribe(
+            Subscribe.newBuilder()
+                .setDesiredVersion(desiredVersion.getAsLong())
+                .setEverything(everything)
+                .setCarriesTraffic(carriesTraffic))
+        .build();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/EventSplitter.java
@@ -0,0 +1,79 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Cuts an event stream into whole events, so that a broken one can be continued elsewhere without a
+ * part of an event sent twice.
+ */
+final class EventSplitter {
+  private static final String ID_FIELD = "id:";
+
+  private final ByteBuf pending = Unpooled.buffer();
+  private final BiConsumer<ByteBuf, @Nullable String> events;
+
+  /** Creates a splitter that hands on whole events, with their ids where they have one. */
+  EventSplitter(BiConsumer<ByteBuf, @Nullable String> events) {
+    this.events = events;
+  }
+
+  void feed(ByteBuf bytes) {
+    pending.discardSomeReadBytes();
+    pending.writeBytes(bytes);
+    int end = endOfEvent();
+    while (end >= 0) {
+      ByteBuf event = pending.readSlice(end - pending.readerIndex());
+      events.accept(event, id(event));
+      end = endOfEvent();
+    }
+  }
+
+  /** Returns the bytes behind the last whole event. */
+  ByteBuf rest() {
+    return pending;
+  }
+
+  /** Drops the bytes behind the last whole event. */
+  void reset() {
+    pending.clear();
+  }
+
+  /** Returns the index behind the next empty line, or -1 if there is none yet. */
+  private int endOfEvent() {
+    int from = pending.readerIndex();
+    int end = pending.writerIndex();
+    int lineStart = from;
+    for (int i = from; i < end; i++) {
+      if (pending.getByte(i) != '\n') {
+        continue;
+      }
+      int length = i - lineStart;
+      boolean empty = length == 0 || (length == 1 && pending.getByte(lineStart) == '\r');
+      if (empty && i > from) {
+        return i + 1;
+      }
+      lineStart = i + 1;
+    }
+    return -1;
+  }
+
+  private static @Nullable String id(ByteBuf event) {
+    String text = event.toString(StandardCharsets.UTF_8);
+    int at = 0;
+    while (at < text.length()) {
+      int end = text.indexOf('\n', at);
+      if (end < 0) {
+        end = text.length();
+      }
+      if (text.startsWith(ID_FIELD, at)) {
+        return text.substring(at + ID_FIELD.length(), end).strip();
+      }
+      at = end + 1;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontContext.java
@@ -0,0 +1,24 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.channel.EventLoop;
+import org.clementinesail.server.logging.DecisionLog;
+
+/**
+ * What exchanges work with.
+ *
+ * @param loop the event loop that everything happens on
+ * @param dialect names of callers and targets
+ * @param routing what to route by
+ * @param targets connections to targets
+ * @param probe asks engines for reports
+ * @param metrics counters and histograms
+ * @param log lines for decisions
+ */
+record FrontContext(
+    EventLoop loop,
+    Dialect dialect,
+    RoutingState routing,
+    TargetPool targets,
+    EngineProbe probe,
+    FrontMetrics metrics,
+    DecisionLog log) {}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontMetrics.java
@@ -0,0 +1,67 @@
+package org.clementinesail.server.proxy;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Recorder;
+import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
+
+/** Counters and latency histograms of the data path, as text for the metrics address. */
+public final class FrontMetrics {
+  private static final long MOST_MICROS = TimeUnit.MINUTES.toMicros(2);
+  private static final int DIGITS = 2;
+
+  private final MetricRegistry registry = new MetricRegistry();
+
+  /**
+   * Counts an event.
+   *
+   * @param name what happened, with labels in the exposition format
+   */
+  public void count(String name) {
+    counter(name).inc();
+  }
+
+  private Counter counter(String name) {
+    return registry.counter(name);
+  }
+
+  /**
+   * Records a time.
+   *
+   * @param name what was measured, with labels in the exposition format
+   * @param nanos the time
+   */
+  public void time(String name, long nanos) {
+    Histogram histogram =
+        registry.histogram(
+            name,
+            () -> new Histogram(new HdrHistogramReservoir(new Recorder(1, MOST_MICROS, DIGITS))));
+    histogram.update(Math.max(1, Math.min(MOST_MICROS, TimeUnit.NANOSECONDS.toMicros(nanos))));
+  }
+
+  /** Returns all metrics in the usual text format, times in seconds. */
+  public String text() {
+    StringBuilder out = new StringBuilder();
+    for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
+      out.append(entry.getKey()).append(' ').append(entry.getValue().getCount()).append('\n');
+    }
+    for (Map.Entry<String, Histogram> entry : registry.getHistograms().entrySet()) {
+      var snapshot = entry.getValue().getSnapshot();
+      line(out, entry.getKey(), "0.5", snapshot.getMedian());
+      line(out, entry.getKey(), "0.95", snapshot.get95thPercentile());
+      line(out, entry.getKey(), "0.99", snapshot.get99thPercentile());
+    }
+    return out.toString();
+  }
+
+  private static void line(StringBuilder out, String name, String quantile, double micros) {
+    int brace = name.indexOf('{');
+    String base = brace < 0 ? name : name.substring(0, brace);
+    String labels = brace < 0 ? "" : name.substring(brace + 1, name.length() - 1) + ",";
+    out.append(base).append('{').append(labels).append("quantile=\"").append(quantile);
+    out.append("\"} ").append(micros / TimeUnit.SECONDS.toMicros(1)).append('\n');
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -0,0 +1,174 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.server.logging.DecisionLog;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Accepts callers and runs their requests. Everything happens on one event loop.
+ *
+ * <pre>{@code
+ * FrontServer front = new FrontServer(loop, dialect, engineDialect, routing, metrics, log);
+ * front.listen(new InetSocketAddress("10.1.0.40", 8227));
+ * }</pre>
+ */
+public final class FrontServer {
+  /** How often waiting streams are looked at; a fraction of the pauses that callers notice. */
+  private static final long WATCH_MS = 50;
+
+  /** How often idle connections are looked for. */
+  private static final long IDLE_CHECK_MS = 1_000;
+
+  private static final int MAX_LINE_BYTES = 16_384;
+
+  /** Bytes queued for a caller above which its target is not read. */
+  private static final WriteBufferWaterMark WATER_MARK =
+      new WriteBufferWaterMark(32 * 1_024, 64 * 1_024);
+
+  private final EventLoop loop;
+  private final FrontContext context;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private final Set<Exchange> exchanges = new LinkedHashSet<>();
+  private @Nullable Channel listening;
+  private boolean draining;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param loop the event loop
+   * @param dialect names of callers and targets
+   * @param engines formats of engines' reports
+   * @param routing what to route by
+   * @param metrics counters and histograms
+   * @param log lines for decisions
+   */
+  public FrontServer(
+      EventLoop loop,
+      Dialect dialect,
+      EngineDialect engines,
+      RoutingState routing,
+      FrontMetrics metrics,
+      DecisionLog log) {
+    this.loop = loop;
+    TargetPool pool = new TargetPool(loop, dialect);
+    EngineProbe probe = new EngineProbe(loop, pool, engines);
+    this.context = new FrontContext(loop, dialect, routing, pool, probe, metrics, log);
+  }
+
+  /**
+   * Begins to accept callers.
+   *
+   * @param address where to listen
+   */
+  public void listen(InetSocketAddress address) {
+    listening =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, 512)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    int head = RequestLimits.DEFAULT.maxHeaderBytes();
+                    HttpDecoderConfig config =
+                        new HttpDecoderConfig()
+                            .setMaxInitialLineLength(MAX_LINE_BYTES)
+                            .setMaxHeaderSize(head)
+                            .setValidateHeaders(false);
+                    channel.pipeline().addLast(new HttpServerCodec(config));
+                    channel.pipeline().addLast(new CallerConnection(context, FrontServer.this));
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+    loop.scheduleWithFixedDelay(this::watch, WATCH_MS, WATCH_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        this::closeExpired, IDLE_CHECK_MS, IDLE_CHECK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Answers further requests with the wish to close, and closes connections that are idle. */
+  public void drain() {
+    draining = true;
+  }
+
+  /**
+   * Closes connections that wait for a request.
+   *
+   * @param maxIdleNanos how long they have been idle at least
+   */
+  public void closeIdle(long maxIdleNanos) {
+    long now = System.nanoTime();
+    List.copyOf(connections).forEach(c -> c.closeIfIdle(now, maxIdleNanos));
+  }
+
+  /** Returns how many requests are being answered. */
+  public int inProgress() {
+    return exchanges.size();
+  }
+
+  /** Returns how many callers are connected. */
+  public int connections() {
+    return connections.size();
+  }
+
+  /** Closes everything at once. */
+  public void close() {
+    if (listening != null) {
+      listening.close();
+    }
+    List.copyOf(connections).forEach(CallerConnection::close);
+  }
+
+  private void watch() {
+    long now = System.nanoTime();
+    for (Exchange exchange : List.copyOf(exchanges)) {
+      exchange.watch(now);
+    }
+  }
+
+  private void closeExpired() {
+    long now = System.nanoTime();
+    List.copyOf(connections).forEach(c -> c.closeIfExpired(now));
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  void started(Exchange exchange) {
+    exchanges.add(exchange);
+  }
+
+  void ended(Exchange exchange) {
+    exchanges.remove(exchange);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/HeaderCopies.java
@@ -0,0 +1,66 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+
+/** Copies of headers without those that concern one connection only. */
+final class HeaderCopies {
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  private HeaderCopies() {}
+
+  /**
+   * Returns no headers; names and values are not checked, since they are passed on as they came.
+   */
+  static HttpHeaders none() {
+    return DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+  }
+
+  /** Returns a request's headers for another connection, with the length of its body. */
+  static HttpHeaders ofRequest(HttpHeaders headers, int bodyBytes) {
+    HttpHeaders copy = withoutConnection(headers);
+    boolean hadBody =
+        headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+            || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    if (hadBody || bodyBytes > 0) {
+      copy.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+    }
+    return copy;
+  }
+
+  /** Returns an answer's headers for another connection. */
+  static HttpHeaders ofAnswer(HttpHeaders headers) {
+    return withoutConnection(headers);
+  }
+
+  private static HttpHeaders withoutConnection(HttpHeaders headers) {
+    Set<String> dropped = new HashSet<>(CONNECTION_HEADERS);
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",", -1)) {
+        dropped.add(name.strip().toLowerCase(Locale.ROOT));
+      }
+    }
+    HttpHeaders copy = none();
+    headers.forEach(
+        entry -> {
+          if (!dropped.contains(entry.getKey().toLowerCase(Locale.ROOT))) {
+            copy.add(entry.getKey(), entry.getValue());
+          }
+        });
+    return copy;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -0,0 +1,161 @@
+package org.clementinesail.server.proxy;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.desired.EngineModel;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.limits.RetryBudget;
+import org.clementinesail.core.paths.Hop;
+import org.clementinesail.core.paths.OwnLoad;
+import org.clementinesail.core.paths.PathPlanner;
+import org.clementinesail.core.paths.ServerPicker;
+import org.jspecify.annotations.Nullable;
+
+/** What this VM routes by: desired state, fleet and own load. Confined to the event loop. */
+public final class RoutingState {
+  /**
+   * What the site allows and where this VM stands.
+   *
+   * @param dataCentre data centre of this VM
+   * @param leaseNanos how long a target's statement holds unless renewed
+   * @param retryRatio repeated sendings allowed for each request
+   * @param retrySlack repeated sendings allowed beside that, for all VMs together
+   */
+  public record Site(String dataCentre, long leaseNanos, double retryRatio, double retrySlack) {}
+
+  private final Site site;
+  private final Fleet fleet;
+  private final OwnLoad own = new OwnLoad();
+  private final PathPlanner paths;
+  private final ServerPicker servers;
+  private final RandomGenerator random;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private @Nullable DesiredState desired;
+  private int trafficVms = 1;
+
+  /**
+   * Creates a state that knows nothing yet.
+   *
+   * @param site what the site allows
+   * @param random source of draws
+   */
+  public RoutingState(Site site, RandomGenerator random) {
+    this.site = site;
+    this.random = random;
+    this.fleet = new Fleet(site.leaseNanos());
+    this.paths = new PathPlanner(own, random);
+    this.servers = new ServerPicker(own, random);
+  }
+
+  /** Returns the desired state in force, if any is known. */
+  public Optional<DesiredState> desired() {
+    return Optional.ofNullable(desired);
+  }
+
+  /**
+   * Puts a desired state in force unless one as new is.
+   *
+   * @param next the state
+   * @return whether it is in force now
+   */
+  public boolean desired(DesiredState next) {
+    if (desired != null && next.version() <= desired.version()) {
+      return false;
+    }
+    desired = next;
+    return true;
+  }
+
+  /** Returns the fleet. */
+  public Fleet fleet() {
+    return fleet;
+  }
+
+  /** Returns this VM's load on each target. */
+  public OwnLoad own() {
+    return own;
+  }
+
+  /** Returns the source of draws. */
+  public RandomGenerator random() {
+    return random;
+  }
+
+  /**
+   * Notes how many VMs carry traffic.
+   *
+   * @param vms number of VMs, at least 1
+   */
+  public void trafficVms(int vms) {
+    if (vms != trafficVms) {
+      trafficVms = Math.max(1, vms);
+      budgets.clear();
+    }
+  }
+
+  /**
+   * Takes a report of an engine.
+   *
+   * @param report the report
+   * @param suspectUntil until when a silent engine is set aside
+   */
+  public void reported(EngineReport report, long suspectUntil) {
+    fleet.reported(report, suspectUntil);
+    if (report.reachable()) {
+      own.reported(report.id(), report.reportedAt());
+    }
+  }
+
+  /**
+   * Plans a path through the engines of a service.
+   *
+   * @param service name of the service
+   * @param model how its engines behave
+   * @param need what the request needs
+   * @param excluded targets not to be used
+   * @param now present time in nanoseconds
+   */
+  Optional<List<Hop>> path(
+      String service, EngineModel model, Need need, Set<String> excluded, long now) {
+    PathPlanner.Need planned =
+        new PathPlanner.Need(need.promptTokens(), need.answerTokens(), site.dataCentre());
+    return paths.plan(model, fleet.ready(service, now), planned, excluded, trafficVms, now);
+  }
+
+  /**
+   * What a request needs of engines.
+   *
+   * @param promptTokens tokens to read
+   * @param answerTokens tokens that the answer is expected to have
+   */
+  record Need(int promptTokens, int answerTokens) {}
+
+  /** Returns a server of a plain service. */
+  Optional<Fleet.Member> server(String service, Set<String> excluded, long now) {
+    return servers.pick(fleet.ready(service, now), excluded, site.dataCentre(), now);
+  }
+
+  /** Returns this VM's budget of repeated sendings to a service. */
+  RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service, key -> new RetryBudget(site.retryRatio() / 2, site.retrySlack() / 2 / trafficVms));
+  }
+
+  /** Returns whether every service that routes name has a target that takes work. */
+  public boolean canServe(long now) {
+    DesiredState state = desired;
+    if (state == null) {
+      return false;
+    }
+    Set<String> services = new HashSet<>();
+    fleet.members().forEach(member -> services.add(member.statement().service()));
+    return state.services().stream().anyMatch(s -> services.contains(s.name()));
+  }
+}
--- a/wire/src/main/java/org/clementinesail/wire/PeerLink.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerLink.java
@@ -168,6 +168,7 @@
       FrameCodec.allowLargeFrames(context.pipeline());
       ready = context.channel();
       reach = PeerReach.CONNECTED;
+      listener.connected(vm);
     }
 
     @Override
--- a/wire/src/main/java/org/clementinesail/wire/PeerListener.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerListener.java
@@ -13,4 +13,11 @@
    * @param frame the frame
    */
   void received(String vm, Frame frame);
+
+  /**
+   * Notes that a connection to a VM has been opened, or opened again.
+   *
+   * @param vm name of the VM
+   */
+  default void connected(String vm) {}
 }
--- a/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
@@ -108,7 +108,8 @@
   }
 
   /**
-   * Keeps connections to just the given VMs, which are named by their addresses.
+   * Connects to the given VMs, which are named by their addresses, and gives up others that cannot
+   * be reached.
    *
    * @param vms IP numbers and ports
    */
@@ -119,7 +120,7 @@
       }
     }
     for (String vm : Set.copyOf(links.keySet())) {
-      if (!vms.contains(vm)) {
+      if (!vms.contains(vm) && reach(vm) != PeerReach.CONNECTED) {
         PeerLink dropped = links.remove(vm);
         if (dropped != null) {
           dropped.close();
