--- /dev/null
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -0,0 +1,138 @@
+package org.clementinesail.core.paths;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.placement.TestModels;
+import org.clementinesail.core.targets.LayerRange;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which engines a request passes through. */
+public class PathPlannerTest {
+  private static final PathPlanner.Need NEED = new PathPlanner.Need(774, 203, "a");
+
+  private Fleet fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
+  private OwnLoad own = new OwnLoad();
+  private PathPlanner planner = new PathPlanner(own, new Random(7));
+
+  /** Each test begins with no engines. */
+  @BeforeMethod
+  public void forget() {
+    fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
+    own = new OwnLoad();
+    planner = new PathPlanner(own, new Random(7));
+  }
+
+  private void engine(String id, String dataCentre, String kind, int from, int to) {
+    fleet.heard(
+        new TargetStatement(
+            id,
+            "lm",
+            id + ":1",
+            dataCentre,
+            134,
+            Phase.READY,
+            kind,
+            new LayerRange(from, to),
+            1,
+            1),
+        0);
+  }
+
+  private List<Hop> plan(Set<String> excluded) {
+    return planner
+        .plan(TestModels.MODEL, fleet.ready("lm", 1), NEED, excluded, 7, 1)
+        .orElse(List.of());
+  }
+
+  private static List<String> ids(List<Hop> hops) {
+    return hops.stream().map(Hop::id).toList();
+  }
+
+  private static void assertWhole(List<Hop> hops) {
+    int next = 0;
+    for (Hop hop : hops) {
+      assertEquals(hop.layers().from(), next, hops.toString());
+      next = hop.layers().to();
+    }
+    assertEquals(next, 80, hops.toString());
+  }
+
+  /** Every layer runs once and in order, also where ranges overlap. */
+  @Test
+  public void everyLayerOnceInOrder() {
+    engine("x", "a", "whole", 0, 24);
+    engine("y", "a", "whole", 16, 48);
+    engine("z", "a", "whole", 40, 64);
+    engine("w", "a", "whole", 56, 80);
+    assertWhole(plan(Set.of()));
+  }
+
+  /** A path stays in one data centre rather than sending a prompt over the shared pipe. */
+  @Test
+  public void staysInOneDataCentre() {
+    engine("a1", "a", "whole", 0, 40);
+    engine("a2", "a", "whole", 40, 80);
+    engine("b2", "b", "whole", 40, 80);
+    assertEquals(ids(plan(Set.of())), List.of("a1", "a2"));
+    assertEquals(ids(plan(Set.of("a2"))), List.of("a1", "b2"));
+  }
+
+  /** No path is made up where a layer is missing or its engine is set aside. */
+  @Test
+  public void nothingWithoutAllLayers() {
+    engine("a1", "a", "whole", 0, 40);
+    assertEquals(plan(Set.of()), List.of());
+    engine("a2", "a", "whole", 40, 80);
+    fleet.suspect("a2", 100);
+    assertEquals(plan(Set.of()), List.of());
+  }
+
+  /** An engine without memory for the request is passed by. */
+  @Test
+  public void fullEngineIsPassedBy() {
+    engine("a1", "a", "whole", 0, 80);
+    engine("b1", "b", "slow-whole", 0, 80);
+    fleet.reported(
+        new EngineReport(
+            "a1", true, 10, 0, 990_000, 1_000_000, 1, false, 1, new LayerRange(0, 80), 1),
+        1);
+    assertEquals(ids(plan(Set.of())), List.of("b1"));
+  }
+
+  /** Load: a burst between two reports spreads over equal engines instead of filling one. */
+  @Test
+  public void burstSpreadsOverEqualEngines() {
+    for (int i = 0; i < 4; i++) {
+      engine("e" + i, "a", "whole", 0, 80);
+    }
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 40; i++) {
+      Hop hop = plan(Set.of()).get(0);
+      own.assigned(hop.id(), 0);
+      counts.merge(hop.id(), 1, Integer::sum);
+    }
+    assertTrue(counts.values().stream().allMatch(n -> n >= 7), counts.toString());
+  }
+
+  /** Load: a slow engine gets less than its equals. */
+  @Test
+  public void slowEngineGetsLess() {
+    engine("fast", "a", "whole", 0, 80);
+    engine("slow", "a", "whole", 0, 80);
+    LayerRange all = new LayerRange(0, 80);
+    fleet.reported(new EngineReport("slow", true, 0, 0, 0, 0, 5, false, 1, all, 1), 1);
+    assertEquals(ids(plan(Set.of())), List.of("fast"));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -0,0 +1,96 @@
+package org.clementinesail.core.replication;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Objects;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** VMs that join an open cluster, take the place of lost ones, and come back. */
+public class ReplicaMembershipTest {
+  private static final int SETTLE_MILLIS = 6_000;
+  private static final int LOST_MILLIS = 12_000;
+
+  /** Seeds of elections, delays and losses. */
+  @DataProvider
+  public Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}, {6L}, {7L}, {8L}};
+  }
+
+  private static SteppedCluster cluster(long seed) {
+    SteppedCluster cluster = new SteppedCluster(seed, true, "a", "b", "c");
+    cluster.loss = 0.02;
+    cluster.run(SETTLE_MILLIS);
+    return cluster;
+  }
+
+  private static List<String> voters(SteppedCluster cluster) {
+    return cluster.nodes.values().stream()
+        .map(node -> node.core)
+        .filter(Objects::nonNull)
+        .filter(core -> core.role() == Role.LEADER)
+        .flatMap(core -> core.config().voters().stream())
+        .map(ReplicaId::vm)
+        .sorted()
+        .distinct()
+        .toList();
+  }
+
+  /** More VMs than founders: all of them vote in the end. */
+  @Test(dataProvider = "seeds")
+  public void otherVmsJoin(long seed) {
+    SteppedCluster cluster = cluster(seed);
+    cluster.add("d");
+    cluster.add("e");
+    cluster.run(SETTLE_MILLIS);
+    assertEquals(voters(cluster), List.of("a", "b", "c", "d", "e"));
+  }
+
+  /** A VM at a new address takes the place of one that is gone for good. */
+  @Test(dataProvider = "seeds")
+  public void joinerReplacesTheLostOne(long seed) {
+    SteppedCluster cluster = cluster(seed);
+    cluster.kill("c");
+    cluster.run(SETTLE_MILLIS);
+    cluster.add("d");
+    cluster.run(SETTLE_MILLIS);
+    assertEquals(voters(cluster), List.of("a", "b", "d"));
+  }
+
+  /** Where the new VM is there first, the lost one is taken out afterwards. */
+  @Test(dataProvider = "seeds")
+  public void lostOneIsTakenOutLater(long seed) {
+    SteppedCluster cluster = cluster(seed);
+    cluster.add("d");
+    cluster.run(SETTLE_MILLIS);
+    cluster.kill("b");
+    cluster.run(LOST_MILLIS);
+    assertEquals(voters(cluster), List.of("a", "c", "d"));
+  }
+
+  /** A VM that was cut off and replaced comes back as a member, and the history is one. */
+  @Test(dataProvider = "seeds")
+  public void replacedVmComesBack(long seed) {
+    SteppedCluster cluster = cluster(seed);
+    cluster.isolate("c");
+    cluster.run(SETTLE_MILLIS);
+    cluster.add("d");
+    cluster.run(SETTLE_MILLIS);
+    assertEquals(voters(cluster), List.of("a", "b", "d"));
+    cluster.heal();
+    cluster.run(SETTLE_MILLIS);
+    assertTrue(voters(cluster).contains("c"), voters(cluster).toString());
+  }
+
+  /** A wiped VM starts no history of its own and votes again after it holds everything. */
+  @Test(dataProvider = "seeds")
+  public void wipedVmVotesAgain(long seed) {
+    SteppedCluster cluster = cluster(seed);
+    cluster.wipe("a");
+    cluster.start("a");
+    cluster.run(SETTLE_MILLIS);
+    assertEquals(voters(cluster), List.of("a", "b", "c"));
+  }
+}
--- a/core/src/test/java/org/clementinesail/core/replication/SteppedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SteppedCluster.java
@@ -48,11 +48,18 @@
   private final List<Flight> flights = new ArrayList<>();
   private final Random random;
   private final List<String> founders;
+  private final boolean open;
   private long now = TimeUnit.SECONDS.toNanos(100);
 
   SteppedCluster(long seed, String... vms) {
+    this(seed, false, vms);
+  }
+
+  /** Forms a cluster that other VMs may join where it is open. */
+  SteppedCluster(long seed, boolean open, String... vms) {
     this.random = new Random(seed);
     this.founders = List.of(vms);
+    this.open = open;
     for (String vm : vms) {
       nodes.put(vm, new Node(vm));
       start(vm);
@@ -67,16 +74,23 @@
     Node node = nodes.get(vm);
     node.core =
         new ReplicaCore(
-            new ReplicaId(vm, node.diskNumber),
-            Membership.fixed(founders),
-            node.disk,
-            TIMING,
-            random,
-            now);
+            new ReplicaId(vm, node.diskNumber), membership(vm), node.disk, TIMING, random, now);
     node.applied = node.disk.snapshot().index();
     perform(node);
   }
 
+  private Membership membership(String vm) {
+    return open
+        ? new Membership(founders.contains(vm) ? founders : List.of(), founders, true)
+        : Membership.fixed(founders);
+  }
+
+  /** Adds a VM with a blank disk that knows the founders only. */
+  void add(String vm) {
+    nodes.put(vm, new Node(vm));
+    start(vm);
+  }
+
   void kill(String vm) {
     nodes.get(vm).core = null;
   }
