Price hops between data centres by the pipe that they share

Each prompt sends about 50 MB over the one 18 Gbit/s pipe a hop, and tokens wait behind it. Ruled out: slow engines (pace 1), our own time (not counted).

--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -34,10 +34,17 @@
   /** Delay of a hop within a data centre and between two, in milliseconds a token. */
   private static final double LOCAL_HOP_MILLIS = 0.2;
 
-  private static final double REMOTE_HOP_MILLIS = 0.7;
+  /**
+   * Delay of a hop between data centres, in milliseconds a token: behind prompts on the shared pipe
+   * a token waits far longer than the way itself takes.
+   */
+  private static final double REMOTE_HOP_MILLIS = 5;
 
   /** Transfers between data centres wait for one another; expected wait, in transfer times. */
-  private static final double PIPE_WAIT = 3;
+  private static final double PIPE_WAIT = 10;
+
+  /** What a first engine in another data centre adds: the way of the request and its events. */
+  private static final double REMOTE_START_MILLIS = 30;
 
   /** A token that reaches an engine waits for half a pass on average, and then for its own. */
   private static final double PASSES_PER_STEP = 1.5;
@@ -158,7 +165,7 @@
       cuts.add(candidate.layers().to());
     }
     Map<Integer, Map<String, Arrival>> best = new HashMap<>();
-    best.put(0, new HashMap<>(Map.of(need.dataCentre(), new Arrival(0, null, null))));
+    best.put(0, starts(candidates, need));
     for (int cut : cuts) {
       Map<String, Arrival> here = best.get(cut);
       if (here != null && cut < model.layers()) {
@@ -176,6 +183,17 @@
         .filter(PathPlanner::visitsEachOnce);
   }
 
+  /** A path may begin in any data centre; activations only cross from the second engine on. */
+  private static Map<String, Arrival> starts(List<Candidate> candidates, Need need) {
+    Map<String, Arrival> starts = new HashMap<>();
+    for (Candidate candidate : candidates) {
+      String dataCentre = candidate.member().statement().dataCentre();
+      double millis = dataCentre.equals(need.dataCentre()) ? 0 : REMOTE_START_MILLIS;
+      starts.put(dataCentre, new Arrival(millis, null, null));
+    }
+    return starts;
+  }
+
   private static void extend(
       EngineModel model,
       Map<Integer, Map<String, Arrival>> best,
--- a/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -40,6 +41,9 @@
   /** How long an engine that gave no report is set aside unless it is silent again. */
   private static final long SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
+  /** How often the load of all engines is logged. */
+  private static final long LOAD_LINE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private static final int CONFLICT = 409;
   private static final long ORDER_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -53,6 +57,7 @@
   private final DecisionLog log;
   private final Map<String, PlacementController> controllers = new HashMap<>();
   private final Map<String, Long> askedAt = new HashMap<>();
+  private long loadNotedAt;
 
   /**
    * Creates a loop that does not run yet.
@@ -107,10 +112,41 @@
     }
     PlacementController controller =
         controllers.computeIfAbsent(service.name(), key -> new PlacementController());
+    noteLoad(service.name(), now);
     List<Order> orders = controller.decide(service.name(), model, hub.fleet(), now);
     orders.forEach(order -> give(order, controller));
   }
 
+  /** Writes the load of all engines as one line, to see afterwards where requests waited. */
+  private void noteLoad(String service, long now) {
+    if (now - loadNotedAt < LOAD_LINE_NANOS) {
+      return;
+    }
+    loadNotedAt = now;
+    StringJoiner engines = new StringJoiner(" ");
+    for (Fleet.Member member : hub.fleet().ready(service, now)) {
+      EngineReport report = member.report();
+      if (report != null) {
+        long kvPercent = report.kvTotal() == 0 ? 0 : 100 * report.kvUsed() / report.kvTotal();
+        engines.add(
+            member.statement().dataCentre()
+                + "/"
+                + member.statement().accelerator()
+                + "/"
+                + report.layers()
+                + ":"
+                + report.running()
+                + "+"
+                + report.waiting()
+                + ",kv"
+                + kvPercent
+                + "%,x"
+                + report.pace());
+      }
+    }
+    log.write("load", "service", service, "engines", engines);
+  }
+
   private void askIfDue(Fleet.Member member, long now) {
     String id = member.statement().id();
     EngineReport report = member.report();
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.StringJoiner;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.desired.EngineModel;
@@ -73,6 +74,8 @@
   private int mayHaveRun;
   private int lostRuns;
   private boolean begun;
+  private long lastPartAt;
+  private boolean pauseNoted;
   private boolean over;
   private @Nullable String lastEventId;
 
@@ -417,12 +420,61 @@
           .time("first_event_seconds{route=\"" + routeName() + "\"}", now - receivedAt);
       caller.begin(response.status(), HeaderCopies.ofAnswer(response.headers()));
     }
+    notePause(eventId);
     if (eventId != null) {
       lastEventId = eventId;
     }
     caller.send(content);
   }
 
+  /** Logs a pause that makes the answer late, once, with the path that it came over. */
+  private void notePause(@Nullable String eventId) {
+    long now = System.nanoTime();
+    long pauseMs = TimeUnit.NANOSECONDS.toMillis(now - lastPartAt);
+    boolean first = lastPartAt == 0;
+    lastPartAt = now;
+    Route matched = route;
+    Attempt current = attempt;
+    boolean late =
+        !first
+            && !pauseNoted
+            && matched != null
+            && matched.maxPauseMillis() > 0
+            && pauseMs > matched.maxPauseMillis();
+    if (late && current != null) {
+      pauseNoted = true;
+      context
+          .log()
+          .write(
+              "late pause",
+              "request",
+              said.id(),
+              "event",
+              eventId,
+              "pause_ms",
+              pauseMs,
+              "sent",
+              sent,
+              "path",
+              describe(current.path()));
+    }
+  }
+
+  private String describe(List<Hop> path) {
+    StringJoiner text = new StringJoiner(" ");
+    for (Hop hop : path) {
+      String kind =
+          context
+              .routing()
+              .fleet()
+              .member(hop.id())
+              .map(m -> m.statement().accelerator())
+              .orElse("?");
+      text.add(hop.dataCentre() + "/" + kind + "/" + hop.layers());
+    }
+    return text.toString();
+  }
+
   /** Makes the parts sent so far leave; holds the target back while the caller does not read. */
   void partsSent() {
     if (over) {
