--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -38,7 +38,7 @@
    * Delay of a hop between data centres, in milliseconds a token: behind prompts on the shared pipe
    * a token waits far longer than the way itself takes.
    */
-  private static final double REMOTE_HOP_MILLIS = 5;
+  private static final double REMOTE_HOP_MILLIS = 25;
 
   /** Transfers between data centres wait for one another; expected wait, in transfer times. */
   private static final double PIPE_WAIT = 10;
