--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -22,6 +22,9 @@
   /** How long a target that said goodbye is remembered; late statements come within seconds. */
   private static final long GONE_KEPT_NANOS = 120_000_000_000L;
 
+  /** Longest usual time between statements of any target; some heartbeats of a small fleet. */
+  private static final long CONTACT_GAP_NANOS = 1_500_000_000L;
+
   /** A report older than this says nothing of the present load. */
   private static final long REPORT_VALID_NANOS = 5_000_000_000L;
 
@@ -32,9 +35,14 @@
    * @param heardAt when the statement reached a VM, in nanoseconds of this VM's monotonic clock
    * @param report its newest report, or null
    * @param suspectUntil until when it is left out where another will do
+   * @param silenceBefore how long no control VM had been heard, in all, before the statement
    */
   public record Member(
-      TargetStatement statement, long heardAt, @Nullable EngineReport report, long suspectUntil) {
+      TargetStatement statement,
+      long heardAt,
+      @Nullable EngineReport report,
+      long suspectUntil,
+      long silenceBefore) {
 
     /** Returns the layers that it holds by its newest statement or report, if any. */
     public @Nullable LayerRange layers() {
@@ -65,6 +73,9 @@
 
   private final Map<String, Member> members = new HashMap<>();
   private final long leaseNanos;
+  private boolean contacted;
+  private long contactAt;
+  private long silence;
 
   /**
    * Creates an empty fleet.
@@ -75,6 +86,27 @@
     this.leaseNanos = leaseNanos;
   }
 
+  /**
+   * Notes that statements are reaching this VM. While none do, no lease runs: the targets may be
+   * well, and only those who hear them are not.
+   *
+   * @param now present time in nanoseconds
+   */
+  public void contact(long now) {
+    silence += quiet(now);
+    contacted = true;
+    contactAt = now;
+  }
+
+  /** Returns the time without contact beyond what is usual. */
+  private long quiet(long now) {
+    return contacted ? Math.max(0, now - contactAt - CONTACT_GAP_NANOS) : 0;
+  }
+
+  private long age(Member member, long now) {
+    return now - member.heardAt() - (silence + quiet(now) - member.silenceBefore());
+  }
+
   /**
    * Takes a statement.
    *
@@ -88,7 +120,7 @@
       return left(statement.id(), heardAt).isPresent() && held.statement().phase() != Phase.GONE;
     }
     if (held == null) {
-      members.put(statement.id(), new Member(statement, heardAt, null, heardAt - 1));
+      members.put(statement.id(), new Member(statement, heardAt, null, heardAt - 1, silence));
       return true;
     }
     if (!statement.supersedes(held.statement())) {
@@ -101,7 +133,8 @@
             statement,
             heardAt,
             restarted ? null : held.report(),
-            restarted ? heardAt - 1 : held.suspectUntil()));
+            restarted ? heardAt - 1 : held.suspectUntil(),
+            silence));
     return !sameForRouting(held.statement(), statement);
   }
 
@@ -125,7 +158,7 @@
       return Optional.empty();
     }
     TargetStatement gone = held.statement().with(Phase.GONE);
-    members.put(id, new Member(gone, now, held.report(), held.suspectUntil()));
+    members.put(id, new Member(gone, now, held.report(), held.suspectUntil(), silence));
     return Optional.of(gone);
   }
 
@@ -142,7 +175,9 @@
     }
     EngineReport kept = report.reachable() ? report : held.report();
     long until = report.reachable() ? held.suspectUntil() : suspectUntil;
-    members.put(report.id(), new Member(held.statement(), held.heardAt(), kept, until));
+    members.put(
+        report.id(),
+        new Member(held.statement(), held.heardAt(), kept, until, held.silenceBefore()));
   }
 
   private static boolean isNewer(EngineReport held, EngineReport other) {
@@ -158,7 +193,9 @@
   public void suspect(String id, long until) {
     Member held = members.get(id);
     if (held != null && until - held.suspectUntil() > 0) {
-      members.put(id, new Member(held.statement(), held.heardAt(), held.report(), until));
+      members.put(
+          id,
+          new Member(held.statement(), held.heardAt(), held.report(), until, held.silenceBefore()));
     }
   }
 
@@ -186,7 +223,7 @@
   public List<Member> ready(String service, long now) {
     Map<String, Member> byAddress = new HashMap<>();
     for (Member member : members.values()) {
-      if (now - member.heardAt() < leaseNanos) {
+      if (age(member, now) < leaseNanos) {
         byAddress.merge(member.statement().address(), member, Fleet::later);
       }
     }
@@ -229,7 +266,7 @@
     Iterator<Member> all = members.values().iterator();
     while (all.hasNext()) {
       Member member = all.next();
-      if (now - member.heardAt() > leaseNanos + GONE_KEPT_NANOS) {
+      if (age(member, now) > leaseNanos + GONE_KEPT_NANOS) {
         forgotten.add(member.statement());
         all.remove();
       }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -34,14 +34,13 @@
   /** Delay of a hop within a data centre and between two, in milliseconds a token. */
   private static final double LOCAL_HOP_MILLIS = 0.2;
 
-  /**
-   * Delay of a hop between data centres, in milliseconds a token: behind prompts on the shared pipe
-   * a token waits far longer than the way itself takes.
-   */
-  private static final double REMOTE_HOP_MILLIS = 25;
+  private static final double REMOTE_HOP_MILLIS = 0.7;
+
+  /** Use of the pipe above which its waits are not told apart any more. */
+  private static final double MOST_UTILIZATION = 0.9;
 
-  /** Transfers between data centres wait for one another; expected wait, in transfer times. */
-  private static final double PIPE_WAIT = 10;
+  /** A transfer delays others as much as it is delayed itself. */
+  private static final double SHARED_COST = 2;
 
   /** What a first engine in another data centre adds: the way of the request and its events. */
   private static final double REMOTE_START_MILLIS = 30;
@@ -59,6 +58,7 @@
   private static final double WAITING_WEIGHT = 1.0;
 
   private final OwnLoad own;
+  private final PipeLoad pipe;
   private final RandomGenerator random;
 
   /**
@@ -80,10 +80,12 @@
    * Creates a planner.
    *
    * @param own work of this VM at each target
+   * @param pipe use of the pipe between data centres
    * @param random source of the random factors
    */
-  public PathPlanner(OwnLoad own, RandomGenerator random) {
+  public PathPlanner(OwnLoad own, PipeLoad pipe, RandomGenerator random) {
     this.own = own;
+    this.pipe = pipe;
     this.random = random;
   }
 
@@ -111,7 +113,8 @@
         candidate(model, engine, need, vms, now).ifPresent(candidates::add);
       }
     }
-    return cheapest(model, candidates, need);
+    double used = pipe.utilization(model.pipeMegabitsPerSecond(), vms, now);
+    return cheapest(model, candidates, need, remoteHopMillis(model, need, used));
   }
 
   private Optional<Candidate> candidate(
@@ -158,7 +161,8 @@
     return used + unseen + wanted <= total * KV_PLANNED_SHARE;
   }
 
-  private Optional<List<Hop>> cheapest(EngineModel model, List<Candidate> candidates, Need need) {
+  private Optional<List<Hop>> cheapest(
+      EngineModel model, List<Candidate> candidates, Need need, double remoteHop) {
     NavigableSet<Integer> cuts = new TreeSet<>();
     for (Candidate candidate : candidates) {
       cuts.add(candidate.layers().from());
@@ -171,7 +175,7 @@
       if (here != null && cut < model.layers()) {
         for (Candidate candidate : candidates) {
           if (candidate.layers().from() <= cut && cut < candidate.layers().to()) {
-            extend(model, best, here, cut, candidate, cuts, need);
+            extend(best, here, cut, candidate, cuts, need, remoteHop);
           }
         }
       }
@@ -195,19 +199,20 @@
   }
 
   private static void extend(
-      EngineModel model,
       Map<Integer, Map<String, Arrival>> best,
       Map<String, Arrival> here,
       int cut,
       Candidate candidate,
       NavigableSet<Integer> cuts,
-      Need need) {
+      Need need,
+      double remoteHop) {
     String to = candidate.member().statement().dataCentre();
     Arrival before = null;
     double reached = Double.MAX_VALUE;
     for (Map.Entry<String, Arrival> entry : here.entrySet()) {
       boolean remote = !entry.getKey().equals(to);
-      double millis = entry.getValue().millis() + hopMillis(model, need, remote);
+      double hop = remote ? remoteHop : LOCAL_HOP_MILLIS * need.answerTokens();
+      double millis = entry.getValue().millis() + hop;
       if (millis < reached) {
         reached = millis;
         before = entry.getValue();
@@ -218,28 +223,38 @@
       Map<String, Arrival> there = best.computeIfAbsent(end, key -> new HashMap<>());
       Arrival known = there.get(to);
       if (known == null || millis < known.millis()) {
-        Hop hop =
+        Hop last =
             new Hop(
                 candidate.member().statement().id(),
                 candidate.member().statement().address(),
                 to,
                 new LayerRange(cut, end));
-        there.put(to, new Arrival(millis, before, hop));
+        there.put(to, new Arrival(millis, before, last));
       }
     }
   }
 
-  private static double hopMillis(EngineModel model, Need need, boolean remote) {
-    if (!remote) {
-      return LOCAL_HOP_MILLIS * need.answerTokens();
-    }
+  /** Prompts cross one after another, and each token of an answer waits behind them. */
+  private static double remoteHopMillis(EngineModel model, Need need, double used) {
     double transfer =
-        need.promptTokens()
-            * model.activationBytes()
-            * BITS_PER_BYTE
+        activationBits(model, need.promptTokens())
             / (Math.max(1, model.pipeMegabitsPerSecond()) * MEGA)
             * MILLIS_PER_SECOND;
-    return REMOTE_HOP_MILLIS * need.answerTokens() + PIPE_WAIT * transfer;
+    double u = Math.min(MOST_UTILIZATION, used);
+    double wait = transfer * u / (1 - u) / 2;
+    return REMOTE_HOP_MILLIS * need.answerTokens()
+        + transfer
+        + SHARED_COST * wait * (1 + need.answerTokens());
+  }
+
+  /**
+   * Returns how much the activations of some tokens are.
+   *
+   * @param model how the engines behave
+   * @param tokens number of tokens
+   */
+  public static double activationBits(EngineModel model, int tokens) {
+    return tokens * model.activationBytes() * BITS_PER_BYTE;
   }
 
   private static List<Hop> hops(Arrival end) {
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
@@ -26,10 +26,10 @@
   private static final long RESEND_NANOS = 2_000_000_000L;
 
   /** How long layers may be missing before an engine that holds others is moved. */
-  private static final long MEND_AFTER_NANOS = 1_500_000_000L;
+  private static final long MEND_AFTER_NANOS = 700_000_000L;
 
   /** Time between two moves; a move loads weights, which engines share a store for. */
-  private static final long MEND_INTERVAL_NANOS = 4_000_000_000L;
+  private static final long MEND_INTERVAL_NANOS = 1_000_000_000L;
 
   /**
    * An order for one engine.
@@ -67,13 +67,20 @@
     }
     List<PlacedEngine> engines = new ArrayList<>();
     members.forEach(m -> engines.add(view(m, model)));
+    // One that gives no report may be dead: its layers count as missing before its lease ends.
+    List<PlacedEngine> alive = new ArrayList<>();
+    for (int i = 0; i < members.size(); i++) {
+      if (!members.get(i).suspect(now)) {
+        alive.add(engines.get(i));
+      }
+    }
     long empty = engines.stream().filter(e -> e.layers() == null).count();
     if (empty * 2 > engines.size() && now - grownAt < SETTLE_NANOS) {
       return List.of();
     }
     PlacementPlanner planner = new PlacementPlanner(model);
     Map<String, LayerRange> wanted = new HashMap<>(planner.fill(engines));
-    mend(planner, engines, empty, now).ifPresent(e -> wanted.put(e.getKey(), e.getValue()));
+    mend(planner, alive, now).ifPresent(e -> wanted.put(e.getKey(), e.getValue()));
     pending.forEach((id, order) -> wanted.put(id, order.layers()));
     List<Order> orders = new ArrayList<>();
     for (Fleet.Member member : members) {
@@ -86,9 +93,10 @@
   }
 
   private Optional<Map.Entry<String, LayerRange>> mend(
-      PlacementPlanner planner, List<PlacedEngine> engines, long empty, long now) {
-    Optional<Map.Entry<String, LayerRange>> move =
-        empty > 0 || !pending.isEmpty() ? Optional.empty() : planner.mend(engines);
+      PlacementPlanner planner, List<PlacedEngine> alive, long now) {
+    boolean filling =
+        !pending.isEmpty() || alive.stream().anyMatch(engine -> engine.layers() == null);
+    Optional<Map.Entry<String, LayerRange>> move = filling ? Optional.empty() : planner.mend(alive);
     if (move.isEmpty()) {
       holeSince = Long.MIN_VALUE;
       return move;
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -81,6 +81,21 @@
       assertEquals(ready(fleet, LEASE), List.of());
     }
 
+    /** While no statements reach this VM, targets do not lapse; afterwards silent ones do. */
+    @Test
+    public void nothingLapsesWhileNothingIsHeard() {
+      long second = TimeUnit.SECONDS.toNanos(1);
+      fleet.contact(0);
+      fleet.heard(statement("t", "h:1", Phase.READY, 10, 1), 0);
+      fleet.heard(statement("u", "h:2", Phase.READY, 10, 1), 0);
+      assertEquals(ready(fleet, 30 * second), List.of("t", "u"));
+      for (long at = 30 * second; at < 40 * second; at += second) {
+        fleet.contact(at);
+        fleet.heard(statement("u", "h:2", Phase.READY, 10, 2 + at), at);
+      }
+      assertEquals(ready(fleet, 40 * second), List.of("u"));
+    }
+
     /** A heartbeat that was held up does not displace the target that has the address now. */
     @Test
     public void addressBelongsToTheLastStarted() {
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -24,14 +24,16 @@
 
   private Fleet fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
   private OwnLoad own = new OwnLoad();
-  private PathPlanner planner = new PathPlanner(own, new Random(7));
+  private PipeLoad pipe = new PipeLoad();
+  private PathPlanner planner = new PathPlanner(own, pipe, new Random(7));
 
   /** Each test begins with no engines. */
   @BeforeMethod
   public void forget() {
     fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
     own = new OwnLoad();
-    planner = new PathPlanner(own, new Random(7));
+    pipe = new PipeLoad();
+    planner = new PathPlanner(own, pipe, new Random(7));
   }
 
   private void engine(String id, String dataCentre, String kind, int from, int to) {
@@ -89,6 +91,17 @@
     assertEquals(ids(plan(Set.of("a2"))), List.of("a1", "b2"));
   }
 
+  /** Load: while the pipe is busy, a path stays where it is though engines there are slower. */
+  @Test
+  public void busyPipeKeepsPathsLocal() {
+    engine("a1", "a", "whole", 0, 40);
+    engine("a2", "a", "slow-whole", 40, 80);
+    engine("b2", "b", "whole", 40, 80);
+    assertEquals(ids(plan(Set.of())), List.of("a1", "b2"));
+    pipe.crossed(PathPlanner.activationBits(TestModels.MODEL, 774 * 12), 1);
+    assertEquals(ids(plan(Set.of())), List.of("a1", "a2"));
+  }
+
   /** No path is made up where a layer is missing or its engine is set aside. */
   @Test
   public void nothingWithoutAllLayers() {
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
@@ -95,6 +95,7 @@
    * @param statement the statement
    */
   public void heard(TargetStatement statement) {
+    fleet.contact(System.nanoTime());
     boolean news = fleet.heard(statement, System.nanoTime());
     statements.put(statement.id(), statement);
     if (news) {
@@ -144,6 +145,9 @@
    */
   public void update(FleetUpdate update) {
     long now = System.nanoTime();
+    if (update.getStatementsCount() > 0) {
+      fleet.contact(now);
+    }
     update
         .getStatementsList()
         .forEach(s -> fleet.heard(FleetCodec.decode(s), FleetCodec.at(s.getAgeMillis(), now)));
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -53,9 +53,9 @@
   /** Heartbeats and elections for VMs with a fraction of a core, whose disks may take 60 ms. */
   private static final Timing TIMING =
       new Timing(
-          TimeUnit.MILLISECONDS.toNanos(150),
-          TimeUnit.MILLISECONDS.toNanos(900),
-          TimeUnit.MILLISECONDS.toNanos(1_600),
+          TimeUnit.MILLISECONDS.toNanos(250),
+          TimeUnit.MILLISECONDS.toNanos(1_500),
+          TimeUnit.MILLISECONDS.toNanos(2_400),
           10);
 
   /** Longest document that operators send, with room for its head. */
@@ -130,9 +130,7 @@
     driver.start();
     hub.start();
     TargetPool pool = new TargetPool(loop, dialect);
-    new PlacementLoop(
-            loop, hub, this::leads, () -> Optional.ofNullable(desired), engines, pool, log)
-        .start();
+    new PlacementLoop(loop, hub, this::leads, this::desiredState, engines, pool, log).start();
     ControlApi api = new ControlApi(loop, controlDialect, hub, driver, this::apiOf, log);
     HttpEndpoint.listen(
         loop,
@@ -185,12 +183,19 @@
       return;
     }
     hub.desired(document);
-    if (desired == null || desired.version() < document.version()) {
-      DesiredState.Checked checked = controlDialect.desired(Documents.unpack(document));
+  }
+
+  /** Reads the newest version when placement needs it, which is on the leading VM only. */
+  private Optional<DesiredState> desiredState() {
+    DesiredDocument newest = hub.desired();
+    boolean old = desired == null || desired.version() < newest.version();
+    if (newest.version() > 0 && old) {
+      DesiredState.Checked checked = controlDialect.desired(Documents.unpack(newest));
       if (checked instanceof DesiredState.Valid valid) {
         desired = valid.state();
       }
     }
+    return Optional.ofNullable(desired);
   }
 
   private void send(ReplicaMessage message) {
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -156,7 +156,12 @@
     if (sinceMs < UNNOTICED_MS) {
       return false;
     }
-    loop.execute(() -> front.closeIdle(STOP_IDLE_NANOS));
+    // The balancer sends callers here all the same where few VMs are ready; they go elsewhere then.
+    loop.execute(
+        () -> {
+          front.stopAccepting();
+          front.closeIdle(STOP_IDLE_NANOS);
+        });
     boolean idle = front.inProgress() == 0 && front.connections() == 0;
     return idle || sinceMs > settings.graceMillis() - STOP_MARGIN_MS;
   }
@@ -181,6 +186,9 @@
 
   private void update(FleetUpdate update) {
     long now = System.nanoTime();
+    if (update.getStatementsCount() > 0) {
+      routing.fleet().contact(now);
+    }
     update
         .getStatementsList()
         .forEach(
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -33,6 +33,7 @@
   private final TargetStatement target;
   private final List<Hop> path;
   private final @Nullable Route route;
+  private final @Nullable EngineModel model;
   private final EventSplitter splitter = new EventSplitter(this::event);
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf whole;
@@ -53,6 +54,7 @@
     this.target = target;
     this.path = path;
     this.route = route;
+    this.model = model;
   }
 
   TargetStatement target() {
@@ -68,12 +70,11 @@
     return progressAt;
   }
 
-  void begin(FullHttpRequest request, String requestId, long maxIdleNanos, int tokens) {
-    if (path.isEmpty()) {
+  void begin(FullHttpRequest request, String requestId, long maxIdleNanos, RoutingState.Need need) {
+    if (model == null || path.isEmpty()) {
       context.routing().own().assigned(target.id(), 0);
-    }
-    for (Hop hop : path) {
-      context.routing().own().assigned(hop.id(), (long) tokens * hop.layers().size());
+    } else {
+      context.routing().assigned(path, model, need);
     }
     TargetCall started =
         context.targets().send(target.address(), requestId, request, maxIdleNanos, this);
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -34,8 +34,8 @@
   /** Targets that may refuse a request before the caller is told to come back. */
   private static final int MOST_REFUSALS = 4;
 
-  /** Runs that dead targets may cost beyond the route's attempts. */
-  private static final int MOST_LOST_RUNS = 3;
+  /** Runs beyond the route's attempts that targets may cost which died with them. */
+  private static final int MOST_LOST_RUNS = 2;
 
   /** Pause in an answer after which its first engine is asked whether it is stuck. */
   private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
@@ -190,17 +190,10 @@
             HeaderCopies.none());
     Route matched = route;
     boolean repeatable = matched != null && matched.repeatable();
+    RoutingState.Need need = model == null ? new RoutingState.Need(0, 0) : need(model);
     Attempt next = new Attempt(this, context, first.statement(), path, matched, model);
     attempt = next;
-    next.begin(request, said.id(), repeatable ? Long.MAX_VALUE : FRESH_NANOS, need(model, path));
-  }
-
-  private int need(@Nullable EngineModel model, List<Hop> path) {
-    if (model == null || path.isEmpty()) {
-      return 0;
-    }
-    RoutingState.Need need = need(model);
-    return need.promptTokens() + need.answerTokens();
+    next.begin(request, said.id(), repeatable ? Long.MAX_VALUE : FRESH_NANOS, need);
   }
 
   /** Looks at a request that waits for a target or for more of its answer. */
@@ -267,10 +260,12 @@
 
   /** Continues an answer on another path, if that is allowed. */
   private void move(Attempt from, String reason) {
-    lostRuns++;
     if (!mayRunAgain()) {
       return;
     }
+    if (suspect(from.target().id())) {
+      lostRuns++;
+    }
     context
         .log()
         .write(
@@ -298,8 +293,7 @@
     if (matched == null || !matched.repeatable()) {
       return false;
     }
-    int most = matched.maxAttempts() + Math.min(lostRuns, MOST_LOST_RUNS);
-    return mayHaveRun + 1 < most;
+    return mayHaveRun + 1 < matched.maxAttempts() + Math.min(lostRuns, MOST_LOST_RUNS);
   }
 
   // What an attempt tells.
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -132,11 +132,16 @@
     return connections.size();
   }
 
-  /** Closes everything at once. */
-  public void close() {
+  /** Accepts no further connections. */
+  public void stopAccepting() {
     if (listening != null) {
       listening.close();
     }
+  }
+
+  /** Closes everything at once. */
+  public void close() {
+    stopAccepting();
     List.copyOf(connections).forEach(CallerConnection::close);
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -15,6 +15,7 @@
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.OwnLoad;
 import org.clementinesail.core.paths.PathPlanner;
+import org.clementinesail.core.paths.PipeLoad;
 import org.clementinesail.core.paths.ServerPicker;
 import org.jspecify.annotations.Nullable;
 
@@ -33,6 +34,7 @@
   private final Site site;
   private final Fleet fleet;
   private final OwnLoad own = new OwnLoad();
+  private final PipeLoad pipe = new PipeLoad();
   private final PathPlanner paths;
   private final ServerPicker servers;
   private final RandomGenerator random;
@@ -50,7 +52,7 @@
     this.site = site;
     this.random = random;
     this.fleet = new Fleet(site.leaseNanos());
-    this.paths = new PathPlanner(own, random);
+    this.paths = new PathPlanner(own, pipe, random);
     this.servers = new ServerPicker(own, random);
   }
 
@@ -129,6 +131,19 @@
     return paths.plan(model, fleet.ready(service, now), planned, excluded, trafficVms, now);
   }
 
+  /** Notes that a request is given to the engines of a path. */
+  void assigned(List<Hop> path, EngineModel model, Need need) {
+    long tokens = (long) need.promptTokens() + need.answerTokens();
+    String at = path.get(0).dataCentre();
+    for (Hop hop : path) {
+      own.assigned(hop.id(), tokens * hop.layers().size());
+      if (!hop.dataCentre().equals(at)) {
+        at = hop.dataCentre();
+        pipe.crossed(PathPlanner.activationBits(model, need.promptTokens()), System.nanoTime());
+      }
+    }
+  }
+
   /**
    * What a request needs of engines.
    *
