--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -299,17 +299,18 @@
     long desiredBefore = state.desired().version();
     bytesSinceSnapshot += command.bytes().length;
     CommandResult result = state.apply(StateCodec.decodeCommand(command.bytes()));
-    if (pending != null && pending.term() == entry.term()) {
-      pending.result().complete(result);
-    } else {
-      failPending(pending);
-    }
+    // The VMs that act on a change hear of it before its proposer does.
     if (state.latest().number() > rulesBefore) {
       listener.rulesAccepted(state.latest().number());
     }
     if (state.desired().version() > desiredBefore) {
       listener.desiredAccepted(state.desired());
     }
+    if (pending != null && pending.term() == entry.term()) {
+      pending.result().complete(result);
+    } else {
+      failPending(pending);
+    }
   }
 
   private void failPending(@Nullable Pending pending) {
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
@@ -29,6 +29,9 @@
   /** How often renewals and reports are sent together; phases and layers are sent at once. */
   private static final long SEND_MS = 250;
 
+  /** Shortest time between two versions sent to one VM; each is a whole document. */
+  private static final long PUSH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** How long a subscription holds; subscribers renew it about every second. */
   private static final long SUBSCRIPTION_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -44,6 +47,7 @@
   private final Map<String, EngineReport> reports = new LinkedHashMap<>();
   private DesiredDocument desired = DesiredDocument.NONE;
   private boolean desiredDue;
+  private long desiredPushedAt = System.nanoTime() - PUSH_INTERVAL_NANOS;
 
   private static final class Subscriber {
     long seenAt;
@@ -181,10 +185,16 @@
   public void desired(DesiredDocument document) {
     if (document.version() > desired.version()) {
       desired = document;
-      if (!desiredDue) {
+      if (desiredDue) {
+        return;
+      }
+      long wait = desiredPushedAt + PUSH_INTERVAL_NANOS - System.nanoTime();
+      if (wait <= 0) {
+        pushDesired();
+      } else {
         // Versions in quick succession travel as one.
         desiredDue = true;
-        loop.schedule(this::pushDesired, SEND_MS / 2, TimeUnit.MILLISECONDS);
+        loop.schedule(this::pushDesired, wait, TimeUnit.NANOSECONDS);
       }
     }
   }
@@ -196,6 +206,7 @@
 
   private void pushDesired() {
     desiredDue = false;
+    desiredPushedAt = System.nanoTime();
     if (leading.getAsBoolean()) {
       subscribers.forEach(
           (vm, subscriber) -> {
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -53,9 +53,9 @@
   /** Heartbeats and elections for VMs with a fraction of a core, whose disks may take 60 ms. */
   private static final Timing TIMING =
       new Timing(
-          TimeUnit.MILLISECONDS.toNanos(250),
-          TimeUnit.MILLISECONDS.toNanos(1_500),
-          TimeUnit.MILLISECONDS.toNanos(2_400),
+          TimeUnit.MILLISECONDS.toNanos(200),
+          TimeUnit.MILLISECONDS.toNanos(1_000),
+          TimeUnit.MILLISECONDS.toNanos(1_800),
           10);
 
   /** Longest document that operators send, with room for its head. */
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -46,7 +46,7 @@
   private static final int UNAVAILABLE = 503;
 
   /** Time for the balancer to notice that the VM is not ready: two misses a second apart. */
-  private static final long UNNOTICED_MS = 2_300;
+  private static final long UNNOTICED_MS = 2_600;
 
   /** Time that is left unused before the process is killed. */
   private static final long STOP_MARGIN_MS = 700;
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -52,8 +52,14 @@
   /** Idle time up to which a kept connection carries a request that may not be repeated. */
   private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** When callers of refused requests come back, in seconds: spread over one to two of these. */
-  private static final double COME_BACK_SECONDS = 0.4;
+  /**
+   * When callers come back that were refused for want of engines, in seconds: spread over one to
+   * two of these, about the time in which streams end and engines come back.
+   */
+  private static final double COME_BACK_SECONDS = 1.5;
+
+  /** When callers come back to a VM that has just started and knows no desired state yet. */
+  private static final double COME_BACK_TO_STARTED_SECONDS = 2.5;
 
   private final FrontContext context;
   private final CallerConnection caller;
@@ -97,7 +103,7 @@
   void start() {
     Optional<DesiredState> known = context.routing().desired();
     if (known.isEmpty()) {
-      refuse("no desired state is known yet");
+      refuse("no desired state is known yet", COME_BACK_TO_STARTED_SECONDS);
       return;
     }
     DesiredState desired = known.get();
@@ -513,7 +519,7 @@
       return;
     }
     if (mayHaveRun == 0 && attempt == null) {
-      refuse("no target took the request in time");
+      refuse("no target took the request in time", COME_BACK_SECONDS);
     } else {
       fail(HttpResponseStatus.GATEWAY_TIMEOUT, "the time for the request is over");
     }
@@ -522,15 +528,15 @@
   /** Ends a request that no target takes. */
   private void giveUp(String reason) {
     if (mayHaveRun == 0) {
-      refuse(reason);
+      refuse(reason, COME_BACK_SECONDS);
     } else {
       fail(HttpResponseStatus.BAD_GATEWAY, reason);
     }
   }
 
-  private void refuse(String reason) {
+  private void refuse(String reason, double comeBackSeconds) {
     HttpHeaders headers = HeaderCopies.none();
-    double seconds = COME_BACK_SECONDS * (1 + context.routing().random().nextDouble());
+    double seconds = comeBackSeconds * (1 + context.routing().random().nextDouble());
     context.dialect().comeBack(headers, seconds);
     if (finish("refused")) {
       ended("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
