--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -0,0 +1,72 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.server.logging.DecisionLog;
+import org.jspecify.annotations.Nullable;
+
+/** The lines that one request leaves in the log. */
+final class ExchangeLog {
+  private final DecisionLog log;
+  private final String requestId;
+  private final long receivedAt;
+
+  ExchangeLog(DecisionLog log, String requestId, long receivedAt) {
+    this.log = log;
+    this.requestId = requestId;
+    this.receivedAt = receivedAt;
+  }
+
+  void moved(String reason, @Nullable String lastEventId) {
+    log.write("moved", "request", requestId, "reason", reason, "after_event", lastEventId);
+  }
+
+  void refusedByTarget(String target, int status, String faultyAddress) {
+    log.write(
+        "refused by target",
+        "request",
+        requestId,
+        "target",
+        target,
+        "status",
+        status,
+        "at_fault",
+        faultyAddress);
+  }
+
+  void answerLost(String target, String why) {
+    log.write("answer lost", "request", requestId, "target", target, "why", why);
+  }
+
+  void repeatedAfterFailure(String target, int status) {
+    log.write("repeated after failure", "request", requestId, "target", target, "status", status);
+  }
+
+  void callerLeft() {
+    log.write("caller left", "request", requestId, "after_ms", ageMillis());
+  }
+
+  /** Writes an ending that is not a target's answer. */
+  void ended(String event, String route, HttpResponseStatus status, String reason, Runs runs) {
+    log.write(
+        event,
+        "request",
+        requestId,
+        "route",
+        route,
+        "status",
+        status.code(),
+        "reason",
+        reason,
+        "sent",
+        runs.sentCount(),
+        "may_have_run",
+        runs.mayHaveRunCount(),
+        "after_ms",
+        ageMillis());
+  }
+
+  private long ageMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - receivedAt);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontContext.java
@@ -10,7 +10,7 @@
  * @param dialect names of callers and targets
  * @param routing what to route by
  * @param targets connections to targets
- * @param probe asks engines for reports
+ * @param faults finds targets that hold requests up
  * @param metrics counters and histograms
  * @param log lines for decisions
  */
@@ -19,6 +19,6 @@
     Dialect dialect,
     RoutingState routing,
     TargetPool targets,
-    EngineProbe probe,
+    FaultFinder faults,
     FrontMetrics metrics,
     DecisionLog log) {}
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -68,7 +68,9 @@
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect);
     EngineProbe probe = new EngineProbe(loop, pool, engines);
-    this.context = new FrontContext(loop, dialect, routing, pool, probe, metrics, log);
+    this.context =
+        new FrontContext(
+            loop, dialect, routing, pool, new FaultFinder(routing, probe, log), metrics, log);
   }
 
   /**
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/PauseWatch.java
@@ -0,0 +1,60 @@
+package org.clementinesail.server.proxy;
+
+import java.util.List;
+import java.util.StringJoiner;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.paths.Hop;
+import org.jspecify.annotations.Nullable;
+
+/** Logs the first pause that makes an answer late, with the path that it came over. */
+final class PauseWatch {
+  private final FrontContext context;
+  private final String requestId;
+  private long lastAt;
+  private boolean noted;
+
+  PauseWatch(FrontContext context, String requestId) {
+    this.context = context;
+    this.requestId = requestId;
+  }
+
+  /** Notes a part of the answer; a limit of 0 allows any pause. */
+  void part(@Nullable String eventId, long maxPauseMillis, int sent, List<Hop> path) {
+    long now = System.nanoTime();
+    long pauseMillis = lastAt == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(now - lastAt);
+    lastAt = now;
+    if (noted || maxPauseMillis == 0 || pauseMillis <= maxPauseMillis) {
+      return;
+    }
+    noted = true;
+    context
+        .log()
+        .write(
+            "late pause",
+            "request",
+            requestId,
+            "stream_event",
+            eventId,
+            "pause_ms",
+            pauseMillis,
+            "sent",
+            sent,
+            "path",
+            describe(path));
+  }
+
+  private String describe(List<Hop> path) {
+    StringJoiner text = new StringJoiner(" ");
+    for (Hop hop : path) {
+      String kind =
+          context
+              .routing()
+              .fleet()
+              .member(hop.id())
+              .map(m -> m.statement().accelerator())
+              .orElse("?");
+      text.add(hop.dataCentre() + "/" + kind + "/" + hop.layers());
+    }
+    return text.toString();
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -150,7 +150,14 @@
    * @param promptTokens tokens to read
    * @param answerTokens tokens that the answer is expected to have
    */
-  record Need(int promptTokens, int answerTokens) {}
+  record Need(int promptTokens, int answerTokens) {
+    static Need of(CallerHead said, EngineModel model) {
+      int answer = said.answerHint() > 0 ? said.answerHint() : model.usualAnswerTokens();
+      int most = said.answerTokens() > 0 ? said.answerTokens() : Integer.MAX_VALUE;
+      int prompt = said.promptTokens() > 0 ? said.promptTokens() : model.usualPromptTokens();
+      return new Need(prompt, Math.min(answer, most));
+    }
+  }
 
   /** Returns a server of a plain service. */
   Optional<Fleet.Member> server(String service, Set<String> excluded, long now) {
