--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/FrontServerTest.java
@@ -0,0 +1,342 @@
+package org.clementinesail.server.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.desired.Route;
+import org.clementinesail.core.desired.Service;
+import org.clementinesail.core.desired.Workspace;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.server.logging.DecisionLog;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What callers and targets see of the data path, byte by byte, when answers go wrong. */
+public class FrontServerTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 4\r\n\r\nwell";
+  private static final String REFUSAL =
+      "HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+  private static final String EVENTS =
+      "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Type: text/event-stream\r\n";
+
+  private MultiThreadIoEventLoopGroup group;
+  private FrontServer front;
+  private RoutingState routing;
+  private EventLoop loop;
+  private int port;
+  private ScriptedTarget first;
+  private ScriptedTarget second;
+
+  /** Starts a server with two targets and routes of each kind. */
+  @BeforeMethod
+  public void start() throws Exception {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = (EventLoop) group.next();
+    routing =
+        new RoutingState(
+            new RoutingState.Site("a", TimeUnit.HOURS.toNanos(1), 0.2, 200), new Random(1));
+    PlainDialect dialect = new PlainDialect();
+    DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
+    front = new FrontServer(loop, dialect, dialect, routing, new FrontMetrics(), log);
+    try (ServerSocket socket = new ServerSocket(0)) {
+      port = socket.getLocalPort();
+    }
+    front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    first = new ScriptedTarget();
+    second = new ScriptedTarget();
+  }
+
+  /** Stops everything. */
+  @AfterMethod
+  public void stop() throws Exception {
+    loop.submit(front::close).sync();
+    first.close();
+    second.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  private static Route route(String name, Route.Kind kind, boolean open, boolean resumable) {
+    return new Route(
+        name,
+        "shop",
+        "/" + name + "/",
+        kind,
+        900,
+        100,
+        1,
+        List.of(new Route.Split("s", 1)),
+        2,
+        open,
+        resumable,
+        0);
+  }
+
+  private void desired() throws Exception {
+    DesiredState.Checked checked =
+        DesiredState.check(
+            1,
+            List.of(
+                route("safe", Route.Kind.IDEMPOTENT, true, false),
+                route("once", Route.Kind.NON_IDEMPOTENT, true, false),
+                route("stream", Route.Kind.STREAM, true, true),
+                route("fragile", Route.Kind.STREAM, true, false),
+                route("keyed", Route.Kind.IDEMPOTENT, false, false)),
+            List.of(new Service("s", 100, null)),
+            List.of(new Workspace("acme", List.of("secret-key"), -1)),
+            RequestLimits.DEFAULT);
+    loop.submit(() -> routing.desired(((DesiredState.Valid) checked).state())).sync();
+  }
+
+  /** Makes a target known; the first one is preferred, as it stands in the same data centre. */
+  private void join(String id, ScriptedTarget target, String dataCentre) throws Exception {
+    TargetStatement statement =
+        new TargetStatement(id, "s", target.address(), dataCentre, 8, Phase.READY, "", null, 1, 1);
+    loop.submit(() -> routing.fleet().heard(statement, System.nanoTime())).sync();
+  }
+
+  private void bothTargets(String script) throws Exception {
+    desired();
+    join("t1", first, "a");
+    join("t2", second, "b");
+    first.script = request -> script;
+    second.script = request -> OK;
+  }
+
+  private String call(String method, String path, String headers, String body) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+      String request =
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: shop\r\nId: r1\r\nConnection: close\r\n"
+              + headers
+              + length
+              + "\r\n"
+              + body;
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private static int status(String answer) {
+    return answer.isEmpty() ? 0 : Integer.parseInt(answer.substring(9, 12));
+  }
+
+  /**
+   * What the first target does, and what callers of a repeatable and of another request get. A
+   * second target answers well.
+   */
+  @DataProvider
+  public Object[][] answers() {
+    return new Object[][] {
+      {"length", OK, 200, 200},
+      {
+        "no length, closed",
+        "HTTP/1.1 200 OK\r\nProof: p\r\n\r\nwell" + ScriptedTarget.CLOSE,
+        200,
+        200
+      },
+      {
+        "chunked",
+        "HTTP/1.1 200 OK\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n\r\n",
+        200,
+        200
+      },
+      {"own id", OK.replace("Proof", "Id: r1\r\nProof"), 200, 200},
+      {"failure", "HTTP/1.1 500 No\r\nProof: p\r\nContent-Length: 2\r\n\r\nno", 200, 500},
+      {"not found there", "HTTP/1.1 404 No\r\nProof: p\r\nContent-Length: 2\r\n\r\nno", 404, 404},
+      {"refusal", REFUSAL, 200, 200},
+      {"refusal, then closed", REFUSAL + ScriptedTarget.CLOSE, 200, 200},
+      {
+        "refusal, body cut",
+        REFUSAL.replace("Length: 0", "Length: 9") + ScriptedTarget.CLOSE,
+        200,
+        200
+      },
+      {"closed at once", ScriptedTarget.CLOSE, 200, 502},
+      {"reset at once", ScriptedTarget.RESET, 200, 502},
+      {"head cut", "HTTP/1.1 200 OK\r\nPro" + ScriptedTarget.CLOSE, 200, 502},
+      {"body cut", OK.replace("Length: 4", "Length: 9") + ScriptedTarget.CLOSE, 200, 502},
+      {
+        "body reset",
+        "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 90\r\n\r\nwe" + ScriptedTarget.RESET,
+        200,
+        502
+      },
+      {
+        "chunk cut",
+        "HTTP/1.1 200 OK\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nwel"
+            + ScriptedTarget.CLOSE,
+        200,
+        502
+      },
+      {
+        "chunk end missing",
+        "HTTP/1.1 200 OK\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n"
+            + ScriptedTarget.CLOSE,
+        200,
+        502
+      },
+      {"no proof", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil", 200, 502},
+      {"not HTTP", "hello there\r\n\r\n" + ScriptedTarget.CLOSE, 200, 502},
+      {
+        "another's answer, closed",
+        OK.replace("Proof", "Id: r0\r\nProof") + ScriptedTarget.CLOSE,
+        200,
+        502
+      },
+      {
+        "another's answer first",
+        OK.replace("Proof", "Id: r0\r\nProof").replace("well", "evil") + OK,
+        200,
+        200
+      },
+      {"silence", ScriptedTarget.HANG, 504, 504},
+    };
+  }
+
+  /** A repeatable request is repeated, and no caller ever gets a part as if it were whole. */
+  @Test(dataProvider = "answers")
+  public void repeatableRequest(String name, String script, int repeatable, int other)
+      throws Exception {
+    bothTargets(script);
+    String answer = call("GET", "/safe/x", "", "");
+    assertEquals(status(answer), repeatable, name + ": " + answer);
+    assertFalse(answer.contains("evil"), answer);
+    if (repeatable == 200) {
+      assertTrue(answer.endsWith("well"), answer);
+    }
+  }
+
+  /** A request that may not be repeated is sent once, unless it was refused. */
+  @Test(dataProvider = "answers")
+  public void requestThatMayNotBeRepeated(String name, String script, int repeatable, int other)
+      throws Exception {
+    bothTargets(script);
+    String answer = call("POST", "/once/x", "", "pay");
+    assertEquals(status(answer), other, name + ": " + answer);
+    assertFalse(answer.contains("evil"), answer);
+    boolean refused = script.contains("Not-Started");
+    assertEquals(second.requests.size(), refused ? 1 : 0, name);
+    assertEquals(first.requests.size(), 1, name);
+  }
+
+  /** Bytes behind a complete answer are shown to nobody. */
+  @Test
+  public void bytesBehindAnAnswerAreDropped() throws Exception {
+    bothTargets(OK + "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 4\r\n\r\nevil");
+    assertTrue(call("GET", "/safe/x", "", "").endsWith("well"));
+    first.script = request -> OK;
+    assertTrue(call("GET", "/safe/x", "", "").endsWith("well"));
+  }
+
+  /** The target gets method, path, query, body and headers unchanged, but no key. */
+  @Test
+  public void targetGetsTheRequestUnchanged() throws Exception {
+    bothTargets(OK);
+    String headers = "X-Own: 1\r\nKey: secret-key\r\nPatience: 700\r\n";
+    assertEquals(status(call("PUT", "/keyed/a%20b?c=d&&e", headers, "body")), 200);
+    String request = first.requests.get(0);
+    assertTrue(request.startsWith("PUT /keyed/a%20b?c=d&&e HTTP/1.1\r\n"), request);
+    assertTrue(request.endsWith("\r\n\r\nbody"), request);
+    assertTrue(request.contains("X-Own: 1") && request.contains("Workspace: acme"), request);
+    assertFalse(request.contains("secret-key"), request);
+    assertFalse(request.contains("Connection: close"), request);
+  }
+
+  /** Refusals that are the VM's own. */
+  @Test
+  public void refusalsSayWhatIsWrong() throws Exception {
+    String early = call("GET", "/safe/x", "", "");
+    assertEquals(status(early), 503);
+    assertTrue(early.contains("Retry-After"), early);
+    desired();
+    assertEquals(status(call("GET", "/nowhere/", "", "")), 404);
+    assertEquals(status(call("GET", "/keyed/", "Key: wrong\r\n", "")), 401);
+    assertEquals(status(call("GET", "/safe/x", "", "")), 503);
+  }
+
+  /** Every target refuses: the caller hears that nothing has run and when to come back. */
+  @Test
+  public void refusedEverywhere() throws Exception {
+    bothTargets(REFUSAL);
+    second.script = request -> REFUSAL;
+    String answer = call("POST", "/once/x", "", "pay");
+    assertEquals(status(answer), 503, answer);
+    assertTrue(answer.contains("Retry-After"), answer);
+  }
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: e" + id + "\n\n";
+  }
+
+  /** A stream that breaks within an event goes on elsewhere, each event once. */
+  @Test
+  public void brokenStreamIsContinued() throws Exception {
+    bothTargets(
+        EVENTS
+            + "Content-Length: 900\r\n\r\n"
+            + event(1)
+            + event(2)
+            + "id: 3\nda"
+            + ScriptedTarget.CLOSE);
+    Function<String, String> rest =
+        request -> {
+          String body = event(2) + event(3) + event(4);
+          return EVENTS + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        };
+    second.script = rest;
+    String answer = call("POST", "/stream/x", "", "p");
+    List<String> events =
+        Pattern.compile("data: (e[0-9])")
+            .matcher(answer)
+            .results()
+            .map(match -> match.group(1))
+            .toList();
+    assertEquals(events, List.of("e1", "e2", "e3", "e4"), answer);
+    assertTrue(second.requests.get(0).contains("After: 2"), second.requests.get(0));
+    assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+  }
+
+  /** A stream that may not be resumed ends visibly incomplete, and runs once. */
+  @Test
+  public void fragileStreamEndsIncomplete() throws Exception {
+    bothTargets(EVENTS + "Content-Length: 900\r\n\r\n" + event(1) + ScriptedTarget.RESET);
+    String answer = call("POST", "/fragile/x", "", "p");
+    assertFalse(answer.endsWith("0\r\n\r\n"), answer);
+    assertEquals(second.requests.size(), 0);
+  }
+
+  /** A stream whose first target is gone before its first event starts afresh elsewhere. */
+  @Test
+  public void streamStartsElsewhere() throws Exception {
+    bothTargets(EVENTS + "Content-Length: 900\r\n\r\n" + ScriptedTarget.CLOSE);
+    String body = event(1);
+    second.script = request -> EVENTS + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    String answer = call("POST", "/stream/x", "", "p");
+    assertTrue(answer.contains("data: e1"), answer);
+    assertFalse(second.requests.get(0).contains("After"), second.requests.get(0));
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/PlainDialect.java
@@ -0,0 +1,78 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.clementinesail.core.placement.PlacementController.Order;
+
+/** Short header names, for tests only. */
+final class PlainDialect implements Dialect, EngineDialect {
+  @Override
+  public CallerHead read(HttpRequest request) {
+    HttpHeaders headers = request.headers();
+    return new CallerHead(
+        headers.get("Id", ""),
+        headers.get("Host", ""),
+        Long.parseLong(headers.get("Patience", "-1")),
+        headers.get("Key"),
+        0,
+        0,
+        0,
+        headers.get("After"));
+  }
+
+  @Override
+  public void address(HttpHeaders headers, Forwarding forwarding) {
+    headers.remove("Key");
+    headers.set("Patience", forwarding.patienceMillis());
+    headers.set("Target", forwarding.targetId());
+    if (forwarding.workspace() != null) {
+      headers.set("Workspace", forwarding.workspace());
+    }
+    if (forwarding.lastEventId() != null) {
+      headers.set("After", forwarding.lastEventId());
+    }
+  }
+
+  @Override
+  public boolean notRun(HttpResponse response) {
+    return response.headers().contains("Not-Started");
+  }
+
+  @Override
+  public boolean proved(HttpResponse response) {
+    return response.headers().contains("Proof");
+  }
+
+  @Override
+  public Optional<String> requestId(HttpResponse response) {
+    return Optional.ofNullable(response.headers().get("Id"));
+  }
+
+  @Override
+  public Optional<String> faultyAddress(HttpResponse response) {
+    return Optional.empty();
+  }
+
+  @Override
+  public void comeBack(HttpHeaders headers, double seconds) {
+    headers.set("Retry-After", seconds);
+  }
+
+  @Override
+  public FullHttpRequest reportRequest(String address) {
+    throw new UnsupportedOperationException("no engines here");
+  }
+
+  @Override
+  public Detail report(String id, byte[] body, long now) {
+    throw new UnsupportedOperationException("no engines here");
+  }
+
+  @Override
+  public FullHttpRequest orderRequest(Order order) {
+    throw new UnsupportedOperationException("no engines here");
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -0,0 +1,108 @@
+package org.clementinesail.server.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+
+/** A target on loopback that answers each request with the bytes that a script gives. */
+final class ScriptedTarget implements AutoCloseable {
+  /** Ends the connection after the bytes. */
+  static final String CLOSE = "<close>";
+
+  /** Resets the connection after the bytes. */
+  static final String RESET = "<reset>";
+
+  /** Keeps the connection and answers nothing more. */
+  static final String HANG = "<hang>";
+
+  final List<String> requests = new CopyOnWriteArrayList<>();
+  volatile Function<String, String> script = request -> CLOSE;
+  private final ServerSocket listening;
+  private final List<Socket> open = new CopyOnWriteArrayList<>();
+
+  ScriptedTarget() throws IOException {
+    listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemon(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listening.getLocalPort();
+  }
+
+  private static void daemon(Runnable task) {
+    Thread thread = new Thread(task, "scripted-target");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listening.accept();
+        open.add(socket);
+        daemon(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      for (String request = read(socket.getInputStream());
+          !request.isEmpty();
+          request = read(socket.getInputStream())) {
+        requests.add(request);
+        String answer = script.apply(request);
+        String bytes = answer.replace(CLOSE, "").replace(RESET, "").replace(HANG, "");
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+        if (answer.endsWith(RESET)) {
+          socket.setSoLinger(true, 0);
+          return;
+        }
+        if (answer.endsWith(CLOSE)) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      // The other side has closed the connection.
+    }
+  }
+
+  /** Reads a head and the body that its length announces; empty at the end of the connection. */
+  private static String read(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        return "";
+      }
+      head.write(b);
+    }
+    String text = head.toString(StandardCharsets.ISO_8859_1);
+    int length = 0;
+    for (String line : text.split("\r\n")) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+      }
+    }
+    return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+  }
+
+  @Override
+  public void close() throws IOException {
+    listening.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+}
