--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -29,7 +29,8 @@
  * A small HTTP server for calls that are answered whole.
  *
  * <pre>{@code
- * HttpEndpoint.listen(loop, address, 65_536, (request, reply) -> reply.accept(HttpEndpoint.text(200, "ok")));
+ * HttpEndpoint.listen(
+ *     loop, address, 65_536, (request, reply) -> reply.accept(HttpEndpoint.text(200, "x", "ok")));
  * }</pre>
  */
 public final class HttpEndpoint {
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -129,7 +129,7 @@
       reply.accept(HttpEndpoint.text(OK, "text/plain", metrics.text()));
       return;
     }
-    boolean ready = !stopping && routing.canServe(System.nanoTime());
+    boolean ready = !stopping && routing.canServe();
     reply.accept(HttpEndpoint.text(ready ? OK : UNAVAILABLE, "text/plain", ""));
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -170,8 +170,8 @@
         service, key -> new RetryBudget(site.retryRatio() / 2, site.retrySlack() / 2 / trafficVms));
   }
 
-  /** Returns whether every service that routes name has a target that takes work. */
-  public boolean canServe(long now) {
+  /** Returns whether a desired state and a target of one of its services are known. */
+  public boolean canServe() {
     DesiredState state = desired;
     if (state == null) {
       return false;
