Acknowledge a version only after it has been sent to the entry VMs

Ruled out: an old version handed out (the entry VMs held the one before), a lost commit (read back at the end).

--- a/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
@@ -111,7 +111,10 @@
         .propose(new Command.PutDesired(Documents.pack(version, document)))
         .whenComplete(
             (result, failure) ->
-                loop.execute(() -> reply.accept(putAnswer(uri, version, result, failure))));
+                loop.execute(
+                    () ->
+                        hub.afterPush(
+                            () -> reply.accept(putAnswer(uri, version, result, failure)))));
   }
 
   private FullHttpResponse putAnswer(
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetHub.java
@@ -1,9 +1,11 @@
 package org.clementinesail.server.fleet;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +48,7 @@
   private final Map<String, TargetStatement> statements = new LinkedHashMap<>();
   private final Map<String, EngineReport> reports = new LinkedHashMap<>();
   private DesiredDocument desired = DesiredDocument.NONE;
+  private final List<Runnable> waitingForPush = new ArrayList<>();
   private boolean desiredDue;
   private long desiredPushedAt = System.nanoTime() - PUSH_INTERVAL_NANOS;
 
@@ -204,9 +207,30 @@
     return desired;
   }
 
+  /**
+   * Runs something once the newest version has been sent to the VMs that carry traffic: a version
+   * that is acknowledged before is lost to them if the control VMs fail at that moment.
+   *
+   * @param then what to run, on the event loop
+   */
+  public void afterPush(Runnable then) {
+    if (desiredDue) {
+      waitingForPush.add(then);
+    } else {
+      then.run();
+    }
+  }
+
   private void pushDesired() {
     desiredDue = false;
     desiredPushedAt = System.nanoTime();
+    sendDesiredToAll();
+    List<Runnable> waiting = List.copyOf(waitingForPush);
+    waitingForPush.clear();
+    waiting.forEach(Runnable::run);
+  }
+
+  private void sendDesiredToAll() {
     if (leading.getAsBoolean()) {
       subscribers.forEach(
           (vm, subscriber) -> {
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/fleet/FleetHubTest.java
@@ -0,0 +1,59 @@
+package org.clementinesail.server.fleet;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.state.DesiredDocument;
+import org.clementinesail.server.logging.DecisionLog;
+import org.clementinesail.wire.PeerNetwork;
+import org.clementinesail.wire.SharedSecret;
+import org.testng.annotations.Test;
+
+/** When a version is sent to the VMs that carry traffic. */
+public class FleetHubTest {
+
+  /** Versions in quick succession: the second is acknowledged only after it has been sent. */
+  @Test
+  public void acknowledgementWaitsForThePush() throws Exception {
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoop loop = (EventLoop) group.next();
+    PeerNetwork network =
+        PeerNetwork.byAddress("c", null, new SharedSecret("secret"), (vm, frame) -> {}, group);
+    FleetHub hub =
+        new FleetHub(
+            loop,
+            network,
+            new Fleet(TimeUnit.SECONDS.toNanos(5)),
+            Set::of,
+            () -> true,
+            () -> true,
+            new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream())));
+    List<String> order = new CopyOnWriteArrayList<>();
+    CountDownLatch done = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          hub.desired(new DesiredDocument(1, new byte[0]));
+          hub.afterPush(() -> order.add("first acknowledged"));
+          hub.desired(new DesiredDocument(2, new byte[0]));
+          hub.afterPush(
+              () -> {
+                order.add("second acknowledged");
+                done.countDown();
+              });
+          order.add("second accepted");
+        });
+    done.await();
+    assertEquals(order, List.of("first acknowledged", "second accepted", "second acknowledged"));
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+}
