Send a step once while an engine reads the first request of a new connection

Cause: an engine that has just started takes more than 250 ms to read its first request. Ruled out: a lost connection (none was used before, tokenize has its own), a step out of memory (the attempt number stays). A connection used before that went silent is still found after one probe (stepOnSilentConnectionIsSentAgain).

--- a/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,6 +22,7 @@
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
+import okhttp3.EventListener;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -42,6 +45,13 @@
   private static final MediaType JSON = MediaType.get("application/json");
   private static final Duration QUIET = Duration.ofMillis(250);
   private static final Duration PROBE = Duration.ofMillis(400);
+
+  /**
+   * How long an engine may take to read the first request of a connection that was just made before
+   * the connection counts as lost; a process that has just started loads its classes meanwhile.
+   */
+  private static final Duration FIRST_READ = Duration.ofSeconds(2);
+
   private static final int HTTP_CONFLICT = 409;
   private static final int IDLE_CONNECTIONS_PER_TARGET = 64;
   private static final Duration IDLE_CONNECTION_KEPT = Duration.ofSeconds(30);
@@ -73,6 +83,7 @@
             .connectTimeout(connect)
             .readTimeout(Duration.ZERO)
             .callTimeout(step)
+            .eventListenerFactory(call -> new ConnectionListener())
             .build();
     this.fresh =
         base.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS)).build();
@@ -132,15 +143,20 @@
   private Attempt attempt(OkHttpClient client, String model, StepCall call)
       throws InterruptedException {
     TargetDescription target = call.stage().target();
-    Call http = client.newCall(post(target, "/v1/step", stepBody(model, call)));
+    ConnectionUse use = new ConnectionUse();
+    Request step = post(target, "/v1/step", stepBody(model, call));
+    Call http = client.newCall(step.newBuilder().tag(ConnectionUse.class, use).build());
     CompletableFuture<StepOutcome> answer = new CompletableFuture<>();
     http.enqueue(new StepCallback(answer));
-    long deadline = System.nanoTime() + stepDeadline.toNanos();
+    long now = System.nanoTime();
+    long deadline = now + stepDeadline.toNanos();
+    long readBy = now + FIRST_READ.toNanos();
     while (true) {
       try {
         return new Attempt(answer.get(QUIET.toMillis(), TimeUnit.MILLISECONDS), false);
       } catch (TimeoutException e) {
-        Attempt verdict = judge(target, call.requestId(), deadline);
+        boolean beingRead = use.newConnection && System.nanoTime() - readBy < 0;
+        Attempt verdict = judge(target, call.requestId(), deadline, beingRead);
         if (verdict != null) {
           http.cancel();
           return verdict;
@@ -155,19 +171,36 @@
   }
 
   /** Returns what the silence of a step means, or null while the engine says that it runs it. */
-  private @Nullable Attempt judge(TargetDescription target, String requestId, long deadline) {
+  private @Nullable Attempt judge(
+      TargetDescription target, String requestId, long deadline, boolean beingRead) {
     if (System.nanoTime() - deadline > 0) {
       return SILENT;
     }
     Probe probe = probe(target, requestId);
     return switch (probe) {
       case RUNNING -> null;
-      case NOT_RUNNING -> CONNECTION_LOST;
+      case NOT_RUNNING -> beingRead ? null : CONNECTION_LOST;
       case REFUSED -> CRASHED;
       case SILENT -> SILENT;
     };
   }
 
+  /** Whether a call made the connection that it went out on. */
+  private static final class ConnectionUse {
+    volatile boolean newConnection;
+  }
+
+  /** Notes on a call that a connection is made for it. */
+  private static final class ConnectionListener extends EventListener {
+    @Override
+    public void connectStart(Call call, InetSocketAddress address, Proxy proxy) {
+      ConnectionUse use = call.request().tag(ConnectionUse.class);
+      if (use != null) {
+        use.newConnection = true;
+      }
+    }
+  }
+
   /** What an engine says on a new connection. */
   private enum Probe {
     /** It runs the step. */
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/targets/EngineClientTest.java
@@ -0,0 +1,127 @@
+package org.clementinesail.server.targets;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntPredicate;
+import org.clementinesail.core.pipeline.StepCall;
+import org.clementinesail.core.routing.Stage;
+import org.clementinesail.core.targets.LayerRange;
+import org.clementinesail.core.targets.TargetDescription;
+import org.clementinesail.server.targets.Engines.StepOutcome;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** How often a step is sent when an engine is quiet, counted by the engine. */
+public final class EngineClientTest {
+  private static final LayerRange LAYERS = new LayerRange(0, 8);
+  private static final String HEALTH = "{\"running\": false}";
+  private static final String STEP =
+      "{\"request\": \"r1\", \"attempt\": 1, \"first_position\": 0, \"outputs\": [\"a\"]}";
+
+  private final AtomicInteger steps = new AtomicInteger();
+  private final AtomicInteger probes = new AtomicInteger();
+  private HttpServer server;
+  private ExecutorService threads;
+  private volatile IntPredicate held;
+  private volatile CountDownLatch probesBeforeAnswer;
+
+  /** Starts an engine that holds steps back until it has been probed. */
+  @BeforeMethod
+  public void start() throws IOException {
+    steps.set(0);
+    probes.set(0);
+    threads = Executors.newCachedThreadPool();
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/v1/health", this::health);
+    server.createContext("/v1/step", this::step);
+    server.start();
+  }
+
+  /** Stops the engine. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    probesBeforeAnswer = new CountDownLatch(0);
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  /** An engine that is still reading the first request of a connection gets it only once. */
+  @Test
+  public void stepOnNewConnectionIsSentOnce() throws Exception {
+    held = number -> number == 1;
+    probesBeforeAnswer = new CountDownLatch(2);
+    assertTrue(client().step("sail-lm", call(), false) instanceof StepOutcome.Done);
+    assertEquals(steps.get(), 1);
+    assertEquals(probes.get(), 2);
+  }
+
+  /** A step that got lost on a connection used before is sent again on a new one. */
+  @Test
+  public void stepOnSilentConnectionIsSentAgain() throws Exception {
+    held = number -> number == 2;
+    probesBeforeAnswer = new CountDownLatch(Integer.MAX_VALUE);
+    EngineClient client = client();
+    assertTrue(client.step("sail-lm", call(), false) instanceof StepOutcome.Done);
+    assertEquals(steps.get(), 1);
+    assertTrue(client.step("sail-lm", call(), false) instanceof StepOutcome.Done);
+    assertEquals(steps.get(), 3);
+  }
+
+  private static EngineClient client() {
+    return new EngineClient(new ObjectMapper(), Duration.ofSeconds(5), Duration.ofSeconds(60));
+  }
+
+  private StepCall call() {
+    String address = "http://127.0.0.1:" + server.getAddress().getPort();
+    TargetDescription engine =
+        new TargetDescription(
+            "e0",
+            address,
+            "cardiff-a",
+            "sail-lm",
+            new TargetDescription.Engine(LAYERS, 8, false, "l4", 1_000, true));
+    return new StepCall("r1", 1, new Stage(engine, LAYERS), 0, List.of("fold"), false);
+  }
+
+  private void health(HttpExchange exchange) throws IOException {
+    probes.incrementAndGet();
+    answer(exchange, HEALTH);
+    probesBeforeAnswer.countDown();
+  }
+
+  private void step(HttpExchange exchange) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    if (held.test(steps.incrementAndGet())) {
+      try {
+        probesBeforeAnswer.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+    answer(exchange, STEP);
+  }
+
+  private static void answer(HttpExchange exchange, String body) throws IOException {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(200, bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+}
