Elect a leader at once when all replicas have lost their leader together

Ruled out: the disk (log read before 'started'), the links (connected at 38.15 s, leader at 38.98 s). Now a replica that has heard no leader since its start asks for pre-votes each 100 to 300 ms, and stops waiting for a possible lease once every other voter has asked it in a term no older than its own: the lease's holder was one of them, and one that asks leads no more. With a voter missing it waits as before.

--- a/core/src/main/java/org/clementinesail/core/replication/Elections.java
+++ b/core/src/main/java/org/clementinesail/core/replication/Elections.java
@@ -1,6 +1,8 @@
 package org.clementinesail.core.replication;
 
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 
 /** Pre-votes, votes and the hand-over of leadership. */
@@ -9,6 +11,9 @@
   private final LogReplication replication;
   private final Set<ReplicaId> grants = new HashSet<>();
 
+  /** What voters have asked since this replica started, each in a term no older than the own. */
+  private final Map<ReplicaId, ReplicaMessage> asked = new LinkedHashMap<>();
+
   Elections(ReplicaContext context, LogReplication replication) {
     this.context = context;
     this.replication = replication;
@@ -50,6 +55,20 @@
   }
 
   void onPreVote(ReplicaMessage message, ReplicaMessage.PreVote ask, long now) {
+    boolean waited = hearsLeader(now);
+    if (message.term() > context.term) {
+      asked.put(message.from(), message);
+    }
+    answerPreVote(message, ask, now);
+    if (waited && allHaveAsked()) {
+      // Those that were refused because of a possible lease need not ask again.
+      asked.values().stream()
+          .filter(other -> !other.from().equals(message.from()))
+          .forEach(other -> answerPreVote(other, (ReplicaMessage.PreVote) other.body(), now));
+    }
+  }
+
+  private void answerPreVote(ReplicaMessage message, ReplicaMessage.PreVote ask, long now) {
     boolean granted =
         message.term() > context.term
             && !hearsLeader(now)
@@ -120,7 +139,18 @@
 
   private boolean hearsLeader(long now) {
     return context.leadership != null
-        || now - context.lastLeaderContact < context.timing.electionMin();
+        || (now - context.lastLeaderContact < context.timing.electionMin() && !allHaveAsked());
+  }
+
+  /**
+   * Returns whether the lease that this replica may have supported before it started is over: its
+   * holder was one of the voters, and one that asks for pre-votes in that term or a later one leads
+   * that term no more.
+   */
+  private boolean allHaveAsked() {
+    return !context.leaderHeard
+        && context.config.voters().stream()
+            .allMatch(voter -> voter.equals(context.self) || asked.containsKey(voter));
   }
 
   private boolean upToDate(long lastTerm, long lastIndex) {
--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -17,6 +17,7 @@
   void becomeLeader(long now) {
     context.role = Role.LEADER;
     context.leader = context.self;
+    context.leaderHeard = true;
     long next = context.log.lastIndex() + 1;
     Leadership led = new Leadership(now, context.timing.leaseNanos());
     for (ReplicaId member : context.config.members()) {
@@ -124,6 +125,7 @@
       context.adopt(message.cluster(), install.snapshot(), now);
       context.becomeFollower(message.term(), message.from(), now);
       context.lastLeaderContact = now;
+      context.leaderHeard = true;
     } else {
       context.followLeader(message.from(), now);
       installOverLog(install.snapshot(), now);
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
@@ -21,6 +21,7 @@
   @Nullable ReplicaId leader;
   @Nullable Leadership leadership;
   long lastLeaderContact;
+  boolean leaderHeard;
   long electionDeadline;
 
   private final List<Output> outputs = new ArrayList<>();
@@ -109,6 +110,7 @@
   }
 
   void followLeader(ReplicaId from, long now) {
+    leaderHeard = true;
     if (role != Role.FOLLOWER || !from.equals(leader)) {
       becomeFollower(term, from, now);
     }
@@ -128,8 +130,13 @@
     emit(new Output.Restore(snapshot));
   }
 
+  /**
+   * Sets when to ask for pre-votes next. A replica that has heard no leader since it started asks
+   * sooner: pre-votes disturb nobody, and after a loss of all replicas nobody else will ask.
+   */
   void resetElectionDeadline(long now) {
-    long spread = timing.electionMax() - timing.electionMin();
-    electionDeadline = now + timing.electionMin() + random.nextLong(Math.max(1, spread));
+    long least = leaderHeard ? timing.electionMin() : timing.heartbeat() / 2;
+    long most = leaderHeard ? timing.electionMax() : timing.heartbeat() * 3 / 2;
+    electionDeadline = now + least + random.nextLong(Math.max(1, most - least));
   }
 }
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaCoreTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaCoreTest.java
@@ -9,6 +9,9 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Elections, replication, repair and authority under failure. */
@@ -158,6 +161,47 @@
       assertTrue(restarted.takeOutputs().isEmpty(), "a vote was answered within the lease");
     }
 
+    /**
+     * When all replicas restart together, none can hold a lease, and they say so to each other: the
+     * next leader is elected before an old lease would have ended.
+     */
+    @Test(dataProvider = "seeds")
+    public void lossOfAllIsOverBeforeTheLease(long seed) {
+      SteppedCluster cluster = new SteppedCluster(seed, "a", "b", "c");
+      String leader = cluster.awaitLeader().vm;
+      proposeAndRun(cluster, leader, 1, 5);
+      List.of("a", "b", "c").forEach(cluster::kill);
+      cluster.run(100);
+      List.of("a", "b", "c").forEach(cluster::start);
+      long lease = TimeUnit.NANOSECONDS.toMillis(SteppedCluster.TIMING.electionMin());
+      cluster.run(lease - 20);
+      assertNotNull(cluster.leader(), "no leader yet");
+    }
+
+    /** Ten draws of the election times. */
+    @DataProvider
+    public Object[][] seeds() {
+      return LongStream.rangeClosed(1, 10)
+          .mapToObj(seed -> new Object[] {seed})
+          .toArray(Object[][]::new);
+    }
+
+    /** With one replica missing the others wait: it may lead, unseen, with a lease. */
+    @Test
+    public void lossOfAllButOneWaitsForTheLease() {
+      SteppedCluster cluster = new SteppedCluster(11, "a", "b", "c");
+      String leader = cluster.awaitLeader().vm;
+      List<String> others = List.of("a", "b", "c").stream().filter(v -> !v.equals(leader)).toList();
+      cluster.isolate(leader);
+      others.forEach(cluster::kill);
+      others.forEach(cluster::start);
+      long lease = TimeUnit.NANOSECONDS.toMillis(SteppedCluster.TIMING.leaseNanos());
+      cluster.run(lease - 20);
+      others.forEach(other -> assertNotEquals(cluster.core(other).role(), Role.LEADER));
+      cluster.run(3 * lease);
+      assertNotEquals(cluster.leader().vm, leader);
+    }
+
     private static long clusterOf(SteppedCluster cluster, String vm) {
       return cluster.nodes.get(vm).disk.cluster();
     }
