Do not take the own delay of a starved VM for the silence of engines

An engine with 58 requests was then moved to fill a hole that was none. Ruled out: dead engines (all had sent heartbeats within 1.5 s), the links.

--- a/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
@@ -16,6 +16,7 @@
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.ReportPacing;
 import org.clementinesail.core.placement.PlacementController;
 import org.clementinesail.core.placement.PlacementController.Order;
 import org.clementinesail.server.logging.DecisionLog;
@@ -32,12 +33,6 @@
   /** How often orders are decided. */
   private static final long DECIDE_MS = 250;
 
-  /** How often an engine that holds layers is asked for a report. */
-  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
-  /** How often an engine that holds none, or works on an order, is asked. */
-  private static final long REPORT_SOON_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
   /** How long an engine that gave no report is set aside unless it is silent again. */
   private static final long SUSPECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
@@ -55,10 +50,16 @@
   private final TargetPool pool;
   private final EngineProbe probe;
   private final DecisionLog log;
-  private final Map<String, PlacementController> controllers = new HashMap<>();
-  private final Map<String, Long> askedAt = new HashMap<>();
+  private final Map<String, Engines> services = new HashMap<>();
   private long loadNotedAt;
 
+  /** What is decided on the engines of one service. */
+  private record Engines(PlacementController controller, ReportPacing pacing) {
+    Engines() {
+      this(new PlacementController(), new ReportPacing(TimeUnit.MILLISECONDS.toNanos(DECIDE_MS)));
+    }
+  }
+
   /**
    * Creates a loop that does not run yet.
    *
@@ -95,7 +96,7 @@
 
   private void turn() {
     if (!leading.getAsBoolean()) {
-      controllers.clear();
+      services.clear();
       return;
     }
     desired.get().ifPresent(state -> state.services().forEach(this::turn));
@@ -107,14 +108,14 @@
       return;
     }
     long now = System.nanoTime();
-    for (Fleet.Member member : hub.fleet().ready(service.name(), now)) {
-      askIfDue(member, now);
+    Engines engines = services.computeIfAbsent(service.name(), key -> new Engines());
+    for (Fleet.Member member : engines.pacing().due(hub.fleet().ready(service.name(), now), now)) {
+      String id = member.statement().id();
+      probe.ask(id, member.statement().address(), answer -> learned(id, answer));
     }
-    PlacementController controller =
-        controllers.computeIfAbsent(service.name(), key -> new PlacementController());
     noteLoad(service.name(), now);
-    List<Order> orders = controller.decide(service.name(), model, hub.fleet(), now);
-    orders.forEach(order -> give(order, controller));
+    List<Order> orders = engines.controller().decide(service.name(), model, hub.fleet(), now);
+    orders.forEach(order -> give(order, engines));
   }
 
   /** Writes the load of all engines as one line, to see afterwards where requests waited. */
@@ -147,19 +148,6 @@
     log.write("load", "service", service, "engines", engines);
   }
 
-  private void askIfDue(Fleet.Member member, long now) {
-    String id = member.statement().id();
-    EngineReport report = member.report();
-    boolean settled = report != null && report.layers() != null && !report.busy();
-    long interval = settled ? REPORT_NANOS : REPORT_SOON_NANOS;
-    Long last = askedAt.get(id);
-    if (last != null && now - last < interval) {
-      return;
-    }
-    askedAt.put(id, now);
-    probe.ask(id, member.statement().address(), answer -> learned(id, answer));
-  }
-
   private void learned(String id, EngineProbe.Answer answer) {
     long now = System.nanoTime();
     if (answer instanceof EngineProbe.Reported reported) {
@@ -170,7 +158,7 @@
     }
   }
 
-  private void give(Order order, PlacementController controller) {
+  private void give(Order order, Engines engines) {
     log.write(
         "order",
         "target",
@@ -184,17 +172,17 @@
         "",
         dialect.orderRequest(order),
         ORDER_IDLE_NANOS,
-        new OrderAnswer(order, controller));
+        new OrderAnswer(order, engines));
   }
 
   private final class OrderAnswer implements AnswerListener {
     private final Order order;
-    private final PlacementController controller;
+    private final Engines engines;
     private int status;
 
-    OrderAnswer(Order order, PlacementController controller) {
+    OrderAnswer(Order order, Engines engines) {
       this.order = order;
-      this.controller = controller;
+      this.engines = engines;
     }
 
     @Override
@@ -209,9 +197,9 @@
     public void end() {
       log.write("order answered", "target", order.id(), "status", status);
       if (status >= 400 && status != CONFLICT) {
-        controller.refused(order.id());
+        engines.controller().refused(order.id());
       }
-      askedAt.remove(order.id());
+      engines.pacing().soon(order.id());
     }
 
     @Override
--- a/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
@@ -18,6 +18,12 @@
   /** How long a report is waited for; it needs no slot, so only a dead engine takes longer. */
   private static final long REPORT_TIMEOUT_MS = 400;
 
+  /**
+   * How late a timeout may be noticed and still speak of the engine. A process that is starved of
+   * processor time, as after a start, reads answers late by as much.
+   */
+  private static final long MOST_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
   /** Longest idle time of a connection that a report is asked for on. */
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -73,7 +79,7 @@
     Asking one = new Asking(id, then);
     asking.put(id, one);
     one.call = pool.send(address, "", dialect.reportRequest(address), MAX_IDLE_NANOS, one);
-    one.timeout = loop.schedule(one::timedOut, REPORT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    one.awaitAnswer();
   }
 
   private final class Asking implements AnswerListener {
@@ -82,6 +88,7 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetCall call = new NoCall();
     private @Nullable ScheduledFuture<?> timeout;
+    private long answerBy;
     private boolean good;
     private boolean done;
 
@@ -123,7 +130,16 @@
       finish(new Silent(EngineReport.silent(id, System.nanoTime()), reason));
     }
 
-    void timedOut() {
+    void awaitAnswer() {
+      answerBy = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REPORT_TIMEOUT_MS);
+      timeout = loop.schedule(this::timedOut, REPORT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void timedOut() {
+      if (System.nanoTime() - answerBy > MOST_LATE_NANOS) {
+        awaitAnswer();
+        return;
+      }
       call.cancel();
       finish(new Silent(EngineReport.silent(id, System.nanoTime()), "no answer in time"));
     }
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/EngineProbeTest.java
@@ -0,0 +1,70 @@
+package org.clementinesail.server.proxy;
+
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What counts as silence of an engine. */
+public final class EngineProbeTest {
+  private static final long BUSY_MS = 600;
+  private static final long WAIT_S = 60;
+
+  private final BlockingQueue<EngineProbe.Answer> answers = new LinkedBlockingQueue<>();
+  private MultiThreadIoEventLoopGroup group;
+  private EventLoop loop;
+  private EngineProbe probe;
+  private ScriptedTarget engine;
+
+  /** Starts an engine and a probe. */
+  @BeforeMethod
+  public void start() throws Exception {
+    answers.clear();
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = (EventLoop) group.next();
+    probe = new EngineProbe(loop, new TargetPool(loop, new PlainDialect()), new PlainReports());
+    engine = new ScriptedTarget();
+    engine.script = request -> PlainReports.ANSWER;
+  }
+
+  /** Stops both. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws Exception {
+    engine.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  /** The VM itself is busy for longer than a report may take: that is no silence of the engine. */
+  @Test
+  public void ownDelayIsNoSilence() throws Exception {
+    loop.execute(
+        () -> {
+          probe.ask("e1", engine.address(), answers::add);
+          beBusy();
+        });
+    assertTrue(answers.poll(WAIT_S, TimeUnit.SECONDS) instanceof EngineProbe.Reported);
+  }
+
+  /** An engine that takes the question and says nothing is silent. */
+  @Test
+  public void silenceIsFound() throws Exception {
+    engine.script = request -> ScriptedTarget.HANG;
+    loop.execute(() -> probe.ask("e1", engine.address(), answers::add));
+    assertTrue(answers.poll(WAIT_S, TimeUnit.SECONDS) instanceof EngineProbe.Silent);
+  }
+
+  private static void beBusy() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(BUSY_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/PlainReports.java
@@ -0,0 +1,32 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.placement.PlacementController.Order;
+import org.clementinesail.core.targets.LayerRange;
+
+/** Reports of engines that wait for nobody, for tests only. */
+final class PlainReports implements EngineDialect {
+  /** An engine's answer. */
+  static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+  @Override
+  public FullHttpRequest reportRequest(String address) {
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/report");
+  }
+
+  @Override
+  public Detail report(String id, byte[] body, long now) {
+    LayerRange layers = new LayerRange(0, 40);
+    return new Detail(new EngineReport(id, true, 0, 0, 0, 1, 1, false, 0, layers, now), List.of());
+  }
+
+  @Override
+  public FullHttpRequest orderRequest(Order order) {
+    return reportRequest(order.address());
+  }
+}
