Find a crashed engine in a pause, avoid lossy links, let requests wait for the first state

A crashed engine was asked for only after a pause of 350 ms, and its name comes with the first engine's report 200 ms late. Now all engines on the path are asked once a pause is 60 ms above one and a half times the answer's usual one; a crashed one refuses at once. FaultFinderTest (red before: the second engine was never asked). 2. Over a link that loses 4 of 100 packets nearly every stream has a pause of a retransmission (230 ms); 105 of 109 late ones at 13 to 18 s had their first engine in another data centre. A path could also avoid the cost of a remote start by a crossing before its first engine, which does not exist. PathPlannerTest.streamsAvoidALossyLink. 3. After a loss of all VMs, callers came back with their last retry 0.1 s before to 2.5 s after the entry VMs' ports opened, and were refused: 203 never came again. Requests now wait up to 1.5 s and a third of their caller's patience for the first desired state, in the first 6 s of a process. StartupWaitTest, FrontServerTest.

--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/limits/StartupWait.java
@@ -0,0 +1,53 @@
+package org.clementinesail.core.limits;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides how long a request waits on a VM that has just started and knows no desired state yet.
+ *
+ * <p>Answers the load after a loss of all VMs: entry VMs are back before the control VMs have
+ * elected a leader, and callers whose answers were cut off come back at once with their last retry.
+ * A short wait serves them; a refusal would be the end of their request.
+ *
+ * <pre>{@code
+ * StartupWait wait = new StartupWait(System.nanoTime());
+ * boolean waits = wait.allows(System.nanoTime(), receivedAt, patienceMillis);
+ * }</pre>
+ */
+public final class StartupWait {
+  /**
+   * Time after a start in which a desired state usually arrives: control VMs on a fraction of a
+   * core take 2 s to start and half a second to elect.
+   */
+  private static final long STARTUP_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+  /** Callers give a stream up whose first event does not come within 2 s. */
+  private static final long MOST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** Part of a caller's patience that may be waited, so that a retry has time left. */
+  private static final int PATIENCE_DIVISOR = 3;
+
+  private final long startedAt;
+
+  /**
+   * Creates the decision of one VM.
+   *
+   * @param startedAt when its process started, in nanoseconds of its monotonic clock
+   */
+  public StartupWait(long startedAt) {
+    this.startedAt = startedAt;
+  }
+
+  /**
+   * Returns whether a request may wait on.
+   *
+   * @param now present time in nanoseconds
+   * @param receivedAt when it arrived
+   * @param patienceMillis how long its caller will wait for the answer, or negative if not known
+   */
+  public boolean allows(long now, long receivedAt, long patienceMillis) {
+    long share = TimeUnit.MILLISECONDS.toNanos(patienceMillis) / PATIENCE_DIVISOR;
+    long wait = patienceMillis < 0 ? MOST_WAIT_NANOS : Math.min(share, MOST_WAIT_NANOS);
+    return now - startedAt < STARTUP_NANOS && now - receivedAt < wait;
+  }
+}
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -59,6 +59,7 @@
 
   private final OwnLoad own;
   private final PipeLoad pipe;
+  private final LinkHealth links;
   private final RandomGenerator random;
 
   /**
@@ -81,11 +82,13 @@
    *
    * @param own work of this VM at each target
    * @param pipe use of the pipe between data centres
+   * @param links state of the links to other data centres
    * @param random source of the random factors
    */
-  public PathPlanner(OwnLoad own, PipeLoad pipe, RandomGenerator random) {
+  public PathPlanner(OwnLoad own, PipeLoad pipe, LinkHealth links, RandomGenerator random) {
     this.own = own;
     this.pipe = pipe;
+    this.links = links;
     this.random = random;
   }
 
@@ -114,7 +117,8 @@
       }
     }
     double used = pipe.utilization(model.pipeMegabitsPerSecond(), vms, now);
-    return cheapest(model, candidates, need, remoteHopMillis(model, need, used));
+    Map<String, Arrival> starts = starts(candidates, need, now);
+    return cheapest(model, candidates, starts, need, remoteHopMillis(model, need, used));
   }
 
   private Optional<Candidate> candidate(
@@ -162,14 +166,18 @@
   }
 
   private Optional<List<Hop>> cheapest(
-      EngineModel model, List<Candidate> candidates, Need need, double remoteHop) {
+      EngineModel model,
+      List<Candidate> candidates,
+      Map<String, Arrival> starts,
+      Need need,
+      double remoteHop) {
     NavigableSet<Integer> cuts = new TreeSet<>();
     for (Candidate candidate : candidates) {
       cuts.add(candidate.layers().from());
       cuts.add(candidate.layers().to());
     }
     Map<Integer, Map<String, Arrival>> best = new HashMap<>();
-    best.put(0, starts(candidates, need));
+    best.put(0, starts);
     for (int cut : cuts) {
       Map<String, Arrival> here = best.get(cut);
       if (here != null && cut < model.layers()) {
@@ -188,11 +196,12 @@
   }
 
   /** A path may begin in any data centre; activations only cross from the second engine on. */
-  private static Map<String, Arrival> starts(List<Candidate> candidates, Need need) {
+  private Map<String, Arrival> starts(List<Candidate> candidates, Need need, long now) {
     Map<String, Arrival> starts = new HashMap<>();
     for (Candidate candidate : candidates) {
       String dataCentre = candidate.member().statement().dataCentre();
-      double millis = dataCentre.equals(need.dataCentre()) ? 0 : REMOTE_START_MILLIS;
+      boolean local = dataCentre.equals(need.dataCentre());
+      double millis = local ? 0 : REMOTE_START_MILLIS + links.penaltyMillis(dataCentre, now);
       starts.put(dataCentre, new Arrival(millis, null, null));
     }
     return starts;
@@ -211,6 +220,10 @@
     double reached = Double.MAX_VALUE;
     for (Map.Entry<String, Arrival> entry : here.entrySet()) {
       boolean remote = !entry.getKey().equals(to);
+      if (remote && cut == 0) {
+        // No activations reach a first engine: it has a start of its own.
+        continue;
+      }
       double hop = remote ? remoteHop : LOCAL_HOP_MILLIS * need.answerTokens();
       double millis = entry.getValue().millis() + hop;
       if (millis < reached) {
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -6,9 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.fleet.TargetStatement;
@@ -25,7 +28,8 @@
   private Fleet fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
   private OwnLoad own = new OwnLoad();
   private PipeLoad pipe = new PipeLoad();
-  private PathPlanner planner = new PathPlanner(own, pipe, new Random(7));
+  private LinkHealth links = new LinkHealth();
+  private PathPlanner planner = new PathPlanner(own, pipe, links, new Random(7));
 
   /** Each test begins with no engines. */
   @BeforeMethod
@@ -33,7 +37,8 @@
     fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
     own = new OwnLoad();
     pipe = new PipeLoad();
-    planner = new PathPlanner(own, pipe, new Random(7));
+    links = new LinkHealth();
+    planner = new PathPlanner(own, pipe, links, new Random(7));
   }
 
   private void engine(String id, String dataCentre, String kind, int from, int to) {
@@ -148,4 +153,54 @@
     fleet.reported(new EngineReport("slow", true, 0, 0, 0, 0, 5, false, 1, all, 1), 1);
     assertEquals(ids(plan(Set.of())), List.of("fast"));
   }
+
+  /**
+   * Load: a link that loses 4 of 100 packets for 5 s, 20 streams a second of 60 events each, each
+   * loss a pause that makes its stream late. The engines behind the link are idle and those on this
+   * side are not, so all streams would use the former. Once the pauses show, streams stay in their
+   * own data centre: of those that begin while the link is bad, at least two thirds are spared.
+   */
+  @Test
+  public void streamsAvoidALossyLink() {
+    engine("b1", "b", "whole", 0, 80);
+    engine("a1", "a", "whole", 0, 80);
+    LayerRange all = new LayerRange(0, 80);
+    fleet.reported(new EngineReport("a1", true, 40, 0, 0, 0, 1, false, 1, all, 1), 1);
+    assertEquals(ids(planAt(1, planner)), List.of("b1"));
+    PathPlanner blind = new PathPlanner(own, pipe, new LinkHealth(), new Random(7));
+    int lateWithout = lateStreams(blind);
+    int late = lateStreams(planner);
+    assertTrue(late * 3 <= lateWithout, late + " late, " + lateWithout + " without");
+    long later = TimeUnit.SECONDS.toNanos(20);
+    fleet.reported(new EngineReport("a1", true, 40, 0, 0, 0, 1, false, 1, all, later), later);
+    assertEquals(ids(planAt(later, planner)), List.of("b1"));
+  }
+
+  /** Plays 100 streams, one each 50 ms, whose events follow at 50 ms; returns how many are late. */
+  private int lateStreams(PathPlanner planning) {
+    Random loss = new Random(3);
+    PriorityQueue<Long> pauses = new PriorityQueue<>();
+    int late = 0;
+    for (int i = 0; i < 100; i++) {
+      long now = TimeUnit.MILLISECONDS.toNanos(50L * i) + 1;
+      while (!pauses.isEmpty() && pauses.peek() <= now) {
+        links.paused("b", pauses.remove());
+      }
+      if (!ids(planAt(now, planning)).equals(List.of("b1"))) {
+        continue;
+      }
+      OptionalInt lost = IntStream.range(0, 60).filter(e -> loss.nextDouble() < 0.04).findFirst();
+      if (lost.isPresent()) {
+        pauses.add(now + TimeUnit.MILLISECONDS.toNanos(50L * lost.getAsInt()));
+        late++;
+      }
+    }
+    return late;
+  }
+
+  private List<Hop> planAt(long now, PathPlanner planning) {
+    return planning
+        .plan(TestModels.MODEL, fleet.ready("lm", now), NEED, Set.of(), 7, now)
+        .orElse(List.of());
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.fleet.TargetStatement;
@@ -18,6 +19,12 @@
   /** Answers up to this length are taken whole, so that a broken one can be replaced. */
   private static final int WHOLE_BYTES = 65_536;
 
+  /** Pause that is usual before an answer's own pauses are known, while its prompt is read. */
+  private static final long FIRST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Weight of the newest pause in the usual one. */
+  private static final int PAUSE_AVERAGED_OVER = 4;
+
   private static final String EVENT_STREAM = "text/event-stream";
 
   private enum Mode {
@@ -41,6 +48,7 @@
   private Mode mode = Mode.HEAD;
   private boolean over;
   private long progressAt = System.nanoTime();
+  private long usualPauseNanos = FIRST_PAUSE_NANOS;
 
   Attempt(
       Exchange exchange,
@@ -70,6 +78,11 @@
     return progressAt;
   }
 
+  /** Returns the usual time between parts of the answer. */
+  long usualPauseNanos() {
+    return usualPauseNanos;
+  }
+
   void begin(FullHttpRequest request, String requestId, long maxIdleNanos, RoutingState.Need need) {
     if (model == null || path.isEmpty()) {
       context.routing().own().assigned(target.id(), 0);
@@ -142,7 +155,9 @@
     if (over) {
       return;
     }
-    progressAt = System.nanoTime();
+    long now = System.nanoTime();
+    usualPauseNanos += (now - progressAt - usualPauseNanos) / PAUSE_AVERAGED_OVER;
+    progressAt = now;
     HttpResponse response = head;
     ByteBuf gathered = whole;
     if (mode == Mode.EVENTS) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +17,6 @@
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.Fleet;
-import org.clementinesail.core.paths.Hop;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -58,6 +56,8 @@
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
   private boolean waiting;
+  private boolean unresolved;
+  private long resolvedAt;
   private boolean begun;
   private boolean over;
   private @Nullable String lastEventId;
@@ -80,17 +80,26 @@
   }
 
   void start() {
+    resolve(System.nanoTime());
+  }
+
+  private void resolve(long now) {
     RequestResolver.Outcome outcome = RequestResolver.resolve(context.routing(), said, head.uri());
     if (outcome instanceof RequestResolver.Resolved resolved) {
       start(resolved);
     } else if (outcome instanceof RequestResolver.Denied denied) {
-      deny(denied.status(), denied.reason());
+      endWith("denied", denied.status(), HeaderCopies.none(), denied.reason());
     } else {
-      refuse("no desired state is known yet", COME_BACK_TO_STARTED_SECONDS);
+      unresolved = context.startupWait().allows(now, receivedAt, said.patienceMillis());
+      if (!unresolved) {
+        refuse("no desired state is known yet", COME_BACK_TO_STARTED_SECONDS);
+      }
     }
   }
 
   private void start(RequestResolver.Resolved resolved) {
+    unresolved = false;
+    resolvedAt = System.nanoTime();
     route = resolved.route();
     service = resolved.service();
     workspace = resolved.workspace();
@@ -105,29 +114,16 @@
 
   /** Sends the request to a next target, or waits for one, or gives up. */
   private void next() {
-    Route matched = route;
     Service chosen = service;
-    if (over || matched == null || chosen == null) {
+    if (over || chosen == null) {
       return;
     }
     long now = System.nanoTime();
-    EngineModel model = chosen.engine();
-    List<Hop> path = List.of();
-    Fleet.Member first = null;
-    if (model != null) {
-      path =
-          context
-              .routing()
-              .path(chosen.name(), model, RoutingState.Need.of(said, model), excluded, now)
-              .orElse(path);
-      first = path.isEmpty() ? null : context.routing().fleet().member(path.get(0).id()).get();
-    } else {
-      first = context.routing().server(chosen.name(), excluded, now).orElse(null);
-    }
-    if (first != null) {
+    Optional<RoutingState.Choice> choice = context.routing().choose(chosen, said, excluded, now);
+    if (choice.isPresent()) {
       waiting = false;
-      send(first, path, model);
-    } else if (begun || now - receivedAt < MOST_WAIT_NANOS) {
+      send(choice.get(), chosen.engine());
+    } else if (begun || now - resolvedAt < MOST_WAIT_NANOS) {
       waiting = true;
       excluded.clear();
     } else {
@@ -135,7 +131,8 @@
     }
   }
 
-  private void send(Fleet.Member first, List<Hop> path, @Nullable EngineModel model) {
+  private void send(RoutingState.Choice choice, @Nullable EngineModel model) {
+    Fleet.Member first = choice.first();
     String name = first.statement().service();
     if (runs.sentCount() > 0 && !context.routing().budget(name).tryRetry()) {
       giveUp("the budget of repeated sendings is used up");
@@ -144,13 +141,14 @@
     runs.sent();
     long left = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
     Forwarding forwarding =
-        new Forwarding(workspace, Math.max(1, left), first.statement().id(), path, lastEventId);
+        new Forwarding(
+            workspace, Math.max(1, left), first.statement().id(), choice.path(), lastEventId);
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwarding);
     Route matched = route;
     boolean repeatable = matched != null && matched.repeatable();
     RoutingState.Need need =
         model == null ? new RoutingState.Need(0, 0) : RoutingState.Need.of(said, model);
-    Attempt next = new Attempt(this, context, first.statement(), path, matched, model);
+    Attempt next = new Attempt(this, context, first.statement(), choice.path(), matched, model);
     attempt = next;
     next.begin(request, said.id(), repeatable ? Long.MAX_VALUE : FRESH_NANOS, need);
   }
@@ -160,6 +158,10 @@
     if (over) {
       return;
     }
+    if (unresolved) {
+      resolve(now);
+      return;
+    }
     if (waiting) {
       next();
       return;
@@ -168,7 +170,8 @@
     if (current == null || current.path().isEmpty()) {
       return;
     }
-    if (context.faults().stuck(current.path(), now - current.progressAt())) {
+    long pause = now - current.progressAt();
+    if (context.faults().stuck(current.path(), pause, current.usualPauseNanos())) {
       move(current, "an engine on the path is at fault");
     }
   }
@@ -353,10 +356,6 @@
     endWith("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
-  private void deny(HttpResponseStatus status, String reason) {
-    endWith("denied", status, HeaderCopies.none(), reason);
-  }
-
   private void fail(HttpResponseStatus status, String reason) {
     endWith("failed", status, HeaderCopies.none(), reason);
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultFinder.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultFinder.java
@@ -1,6 +1,8 @@
 package org.clementinesail.server.proxy;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.server.logging.DecisionLog;
@@ -10,15 +12,20 @@
   /** How long a target at fault is set aside; about the time that a crashed one is away. */
   private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Pause in an answer after which its first engine is asked whether it is stuck. */
-  private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+  /**
+   * What a pause must be above one and a half times the usual one of its answer before the engines
+   * on the path are asked, and the answer moves away from one that is at fault. Callers notice
+   * pauses of 200 ms; asking and starting elsewhere take about 100 ms of that.
+   */
+  private static final long ASK_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
-  /** Pause in an answer after which it moves away from a target that is known to be stuck. */
-  private static final long MOVE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  /** Shortest time between two questions to one engine. */
+  private static final long ASK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final RoutingState routing;
   private final EngineProbe probe;
   private final DecisionLog log;
+  private final Map<String, Long> askedAt = new HashMap<>();
 
   FaultFinder(RoutingState routing, EngineProbe probe, DecisionLog log) {
     this.routing = routing;
@@ -27,15 +34,19 @@
   }
 
   /**
-   * Returns whether an answer that pauses should move away from its path; asks the first engine
-   * where it is not known yet which one is at fault.
+   * Returns whether an answer that pauses should move away from its path; asks the engines on it
+   * where it is not known yet which one is at fault. The first engine says which others it waits
+   * for, but only some 200 ms late; one that has crashed refuses the question at once.
    */
-  boolean stuck(List<Hop> path, long pauseNanos) {
+  boolean stuck(List<Hop> path, long pauseNanos, long usualPauseNanos) {
+    if (pauseNanos <= ASK_AFTER_NANOS + usualPauseNanos * 3 / 2) {
+      return false;
+    }
     boolean atFault = path.stream().anyMatch(hop -> suspect(hop.id()));
-    if (pauseNanos > ASK_AFTER_NANOS && !atFault) {
-      ask(path.get(0));
+    if (!atFault) {
+      path.forEach(this::ask);
     }
-    return pauseNanos > MOVE_AFTER_NANOS && atFault;
+    return atFault;
   }
 
   /** Returns whether a target is set aside or unknown. */
@@ -44,15 +55,21 @@
     return routing.fleet().member(id).map(m -> m.suspect(now)).orElse(true);
   }
 
-  /** Asks the first engine of a path which other engine it waits for. */
-  private void ask(Hop first) {
-    probe.ask(first.id(), first.address(), answer -> learned(first, answer));
+  private void ask(Hop hop) {
+    long now = System.nanoTime();
+    Long last = askedAt.get(hop.id());
+    if (last != null && now - last < ASK_AGAIN_NANOS) {
+      return;
+    }
+    askedAt.values().removeIf(at -> now - at >= ASK_AGAIN_NANOS);
+    askedAt.put(hop.id(), now);
+    probe.ask(hop.id(), hop.address(), answer -> learned(hop, answer));
   }
 
-  private void learned(Hop first, EngineProbe.Answer answer) {
+  private void learned(Hop hop, EngineProbe.Answer answer) {
     long now = System.nanoTime();
     if (answer instanceof EngineProbe.Silent silent) {
-      log.write("engine silent", "target", first.id(), "reason", silent.reason());
+      log.write("engine silent", "target", hop.id(), "reason", silent.reason());
       routing.reported(silent.report(), now + SUSPECT_NANOS);
     } else if (answer instanceof EngineProbe.Reported reported) {
       routing.reported(reported.detail().report(), now);
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontContext.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.channel.EventLoop;
+import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.logging.DecisionLog;
 
 /**
@@ -11,6 +12,7 @@
  * @param routing what to route by
  * @param targets connections to targets
  * @param faults finds targets that hold requests up
+ * @param startupWait how long requests wait for the first desired state
  * @param metrics counters and histograms
  * @param log lines for decisions
  */
@@ -20,5 +22,6 @@
     RoutingState routing,
     TargetPool targets,
     FaultFinder faults,
+    StartupWait startupWait,
     FrontMetrics metrics,
     DecisionLog log) {}
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.logging.DecisionLog;
 import org.jspecify.annotations.Nullable;
 
@@ -30,7 +31,7 @@
  */
 public final class FrontServer {
   /** How often waiting streams are looked at; a fraction of the pauses that callers notice. */
-  private static final long WATCH_MS = 50;
+  private static final long WATCH_MS = 25;
 
   /** How often idle connections are looked for. */
   private static final long IDLE_CHECK_MS = 1_000;
@@ -70,7 +71,14 @@
     EngineProbe probe = new EngineProbe(loop, pool, engines);
     this.context =
         new FrontContext(
-            loop, dialect, routing, pool, new FaultFinder(routing, probe, log), metrics, log);
+            loop,
+            dialect,
+            routing,
+            pool,
+            new FaultFinder(routing, probe, log),
+            new StartupWait(System.nanoTime()),
+            metrics,
+            log);
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/proxy/PauseWatch.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PauseWatch.java
@@ -27,6 +27,9 @@
       return;
     }
     noted = true;
+    if (sent == 1) {
+      context.routing().paused(path, now);
+    }
     context
         .log()
         .write(
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -9,10 +9,12 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.desired.EngineModel;
+import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.limits.RetryBudget;
 import org.clementinesail.core.paths.Hop;
+import org.clementinesail.core.paths.LinkHealth;
 import org.clementinesail.core.paths.OwnLoad;
 import org.clementinesail.core.paths.PathPlanner;
 import org.clementinesail.core.paths.PipeLoad;
@@ -35,6 +37,7 @@
   private final Fleet fleet;
   private final OwnLoad own = new OwnLoad();
   private final PipeLoad pipe = new PipeLoad();
+  private final LinkHealth links = new LinkHealth();
   private final PathPlanner paths;
   private final ServerPicker servers;
   private final RandomGenerator random;
@@ -52,7 +55,7 @@
     this.site = site;
     this.random = random;
     this.fleet = new Fleet(site.leaseNanos());
-    this.paths = new PathPlanner(own, pipe, random);
+    this.paths = new PathPlanner(own, pipe, links, random);
     this.servers = new ServerPicker(own, random);
   }
 
@@ -85,6 +88,15 @@
     return own;
   }
 
+  /** Notes an answer that paused too long, unless an engine of its path may be the cause. */
+  void paused(List<Hop> path, long now) {
+    boolean engineAtFault =
+        path.stream().anyMatch(hop -> fleet.member(hop.id()).map(m -> m.suspect(now)).orElse(true));
+    if (!path.isEmpty() && !engineAtFault && !path.get(0).dataCentre().equals(site.dataCentre())) {
+      links.paused(path.get(0).dataCentre(), now);
+    }
+  }
+
   /** Returns the source of draws. */
   public RandomGenerator random() {
     return random;
@@ -124,13 +136,31 @@
    * @param excluded targets not to be used
    * @param now present time in nanoseconds
    */
-  Optional<List<Hop>> path(
+  private Optional<List<Hop>> path(
       String service, EngineModel model, Need need, Set<String> excluded, long now) {
     PathPlanner.Need planned =
         new PathPlanner.Need(need.promptTokens(), need.answerTokens(), site.dataCentre());
     return paths.plan(model, fleet.ready(service, now), planned, excluded, trafficVms, now);
   }
 
+  /**
+   * Where a request goes.
+   *
+   * @param first the target that it is sent to
+   * @param path the engines that it passes through; empty for a plain service
+   */
+  record Choice(Fleet.Member first, List<Hop> path) {}
+
+  /** Chooses where a request goes, if any target takes it. */
+  Optional<Choice> choose(Service service, CallerHead said, Set<String> excluded, long now) {
+    EngineModel model = service.engine();
+    if (model == null) {
+      return server(service.name(), excluded, now).map(member -> new Choice(member, List.of()));
+    }
+    return path(service.name(), model, Need.of(said, model), excluded, now)
+        .map(path -> new Choice(fleet.member(path.get(0).id()).orElseThrow(), path));
+  }
+
   /** Notes that a request is given to the engines of a path. */
   void assigned(List<Hop> path, EngineModel model, Need need) {
     long tokens = (long) need.promptTokens() + need.answerTokens();
@@ -160,7 +190,7 @@
   }
 
   /** Returns a server of a plain service. */
-  Optional<Fleet.Member> server(String service, Set<String> excluded, long now) {
+  private Optional<Fleet.Member> server(String service, Set<String> excluded, long now) {
     return servers.pick(fleet.ready(service, now), excluded, site.dataCentre(), now);
   }
 
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/FaultFinderTest.java
@@ -0,0 +1,99 @@
+package org.clementinesail.server.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.paths.Hop;
+import org.clementinesail.core.targets.LayerRange;
+import org.clementinesail.server.logging.DecisionLog;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which engine of a path is found at fault, and after which pause. */
+public final class FaultFinderTest {
+  private static final long USUAL_PAUSE = TimeUnit.MILLISECONDS.toNanos(30);
+  private static final long SHORT_PAUSE = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long LONG_PAUSE = TimeUnit.MILLISECONDS.toNanos(110);
+
+  private MultiThreadIoEventLoopGroup group;
+  private EventLoop loop;
+  private RoutingState routing;
+  private FaultFinder faults;
+  private ScriptedTarget first;
+  private ScriptedTarget second;
+  private List<Hop> path;
+
+  /** A path of two engines that answer. */
+  @BeforeMethod
+  public void start() throws Exception {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = (EventLoop) group.next();
+    RoutingState.Site site = new RoutingState.Site("a", TimeUnit.HOURS.toNanos(1), 0.2, 200);
+    routing = new RoutingState(site, new Random(1));
+    DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
+    TargetPool pool = new TargetPool(loop, new PlainDialect());
+    faults = new FaultFinder(routing, new EngineProbe(loop, pool, new PlainReports()), log);
+    first = new ScriptedTarget();
+    second = new ScriptedTarget();
+    first.script = request -> PlainReports.ANSWER;
+    second.script = request -> PlainReports.ANSWER;
+    path =
+        List.of(
+            new Hop("e1", first.address(), "a", new LayerRange(0, 40)),
+            new Hop("e2", second.address(), "a", new LayerRange(40, 80)));
+    for (Hop hop : path) {
+      TargetStatement statement =
+          new TargetStatement(
+              hop.id(), "lm", hop.address(), "a", 8, Phase.READY, "l4", hop.layers(), 1, 1);
+      routing.fleet().heard(statement, System.nanoTime());
+    }
+  }
+
+  /** Stops everything. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws Exception {
+    first.close();
+    second.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  private boolean stuck(long pauseNanos) throws Exception {
+    return loop.submit(() -> faults.stuck(path, pauseNanos, USUAL_PAUSE)).get();
+  }
+
+  /** A crashed engine in mid-path is found although the first engine does not name it yet. */
+  @Test
+  public void crashedEngineIsFoundWithoutBeingNamed() throws Exception {
+    second.close();
+    assertFalse(stuck(LONG_PAUSE));
+    while (!loop.submit(() -> faults.suspect("e2")).get()) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    assertFalse(loop.submit(() -> faults.suspect("e1")).get());
+    assertTrue(stuck(LONG_PAUSE));
+    assertFalse(stuck(SHORT_PAUSE), "moved after a usual pause");
+  }
+
+  /** A usual pause asks nobody; of engines that answer none is set aside. */
+  @Test
+  public void usualPauseAsksNobody() throws Exception {
+    assertFalse(stuck(SHORT_PAUSE));
+    assertFalse(stuck(LONG_PAUSE));
+    while (first.requests.isEmpty() || second.requests.isEmpty()) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    assertFalse(stuck(LONG_PAUSE));
+    assertEquals(first.requests.size(), 1);
+  }
+}
--- a/server/src/test/java/org/clementinesail/server/proxy/FrontServerTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FrontServerTest.java
@@ -16,6 +16,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -115,6 +118,37 @@
     loop.submit(() -> routing.fleet().heard(statement, System.nanoTime())).sync();
   }
 
+  /** A request that arrives before the first desired state waits for it and is served. */
+  @Test
+  public void requestWaitsForTheFirstDesiredState() throws Exception {
+    join("t1", first, "a");
+    first.script = request -> OK;
+    ExecutorService caller = Executors.newSingleThreadExecutor();
+    try {
+      Future<String> answer = caller.submit(() -> call("GET", "/safe/x", "", ""));
+      awaitConnection();
+      desired();
+      assertTrue(answer.get(10, TimeUnit.SECONDS).startsWith("HTTP/1.1 200"));
+    } finally {
+      caller.shutdownNow();
+    }
+  }
+
+  /** Without a desired state the caller is told to come back, and nothing has run. */
+  @Test
+  public void requestIsRefusedWithoutDesiredState() throws Exception {
+    join("t1", first, "a");
+    String answer = call("GET", "/safe/x", "Patience: 300\r\n", "");
+    assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+    assertEquals(first.requests.size(), 0);
+  }
+
+  private void awaitConnection() throws Exception {
+    while (loop.submit(front::inProgress).get() == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   private void bothTargets(String script) throws Exception {
     desired();
     join("t1", first, "a");
