--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -293,5 +293,10 @@
       log.write("control VM connected", "peer", vm);
       subscriptions.connected(vm);
     }
+
+    @Override
+    public void joined(String vm, InetSocketAddress address) {
+      log.write("VM joined", "peer", vm, "address", address);
+    }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -182,6 +182,11 @@
       log.write("control VM connected", "peer", vm);
       subscriptions.connected(vm);
     }
+
+    @Override
+    public void joined(String vm, InetSocketAddress address) {
+      log.write("VM joined", "peer", vm, "address", address);
+    }
   }
 
   private void update(FleetUpdate update) {
--- a/wire/src/main/java/org/clementinesail/wire/PeerListener.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerListener.java
@@ -1,6 +1,8 @@
 package org.clementinesail.wire;
 
+import java.net.InetSocketAddress;
 import org.clementinesail.wire.proto.Frame;
+import org.tinylog.Logger;
 
 /** Receives frames from other VMs, on a network thread; must not block. */
 @FunctionalInterface
@@ -20,4 +22,14 @@
    * @param vm name of the VM
    */
   default void connected(String vm) {}
+
+  /**
+   * Notes a VM that was not named before and has made itself known.
+   *
+   * @param vm name of the VM
+   * @param address where it is reached
+   */
+  default void joined(String vm, InetSocketAddress address) {
+    Logger.info("VM {} at {} has joined", vm, address);
+  }
 }
--- a/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
+++ b/wire/src/main/java/org/clementinesail/wire/PeerNetwork.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.wire.proto.Frame;
 import org.jspecify.annotations.Nullable;
-import org.tinylog.Logger;
 
 /**
  * Connections to all other VMs of the site. Frames may be lost; a connection that goes silent is
@@ -222,7 +221,7 @@
     }
     PeerLink link = link(vm, address);
     if (links.putIfAbsent(vm, link) == null) {
-      Logger.info("VM {} at {} has joined", vm, address);
+      listener.joined(vm, address);
       link.connect();
     }
   }
