Count only requests that are still running beside an engine's report

Cause: what a VM had given an engine since its last report counted until the next report, ended requests included, times the number of VMs. Ruled out: engines set aside (17 lines), memory (the last report before: below 80%). A share is now released when its request ends, and a report covers only what was given 200 ms before it. Tests: PathPlannerTest.endedRequestsDoNotFillAnEngine, reportShowsOnlyWhatItCanKnow; the code before turned requests away after the ninth (by reading; the interface changed).

--- a/core/src/main/java/org/clementinesail/core/paths/OwnLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/OwnLoad.java
@@ -1,18 +1,47 @@
 package org.clementinesail.core.paths;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
- * The work that this VM has given to each target, in all and since the target's last report. The
- * class is not thread-safe.
+ * The requests that this VM has at each target, and those of them that the target's last report
+ * does not show yet.
+ *
+ * <p>Answers load while reports are late or missing, as when the control VMs are down: requests
+ * that have ended do not count any more, whether a report came meanwhile or not. The class is not
+ * thread-safe.
  */
 public final class OwnLoad {
+  /** Reports show the engine as it was this long before. */
+  private static final long REPORT_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** One request at one target; told apart by identity. */
+  public static final class Share {
+    private final String target;
+    private final long kv;
+    private final long assignedAt;
+
+    private Share(String target, long kv, long assignedAt) {
+      this.target = target;
+      this.kv = kv;
+      this.assignedAt = assignedAt;
+    }
+  }
+
   private static final class Work {
+    final Set<Share> unseen = new HashSet<>();
     int requests;
-    int requestsSinceReport;
-    long kvSinceReport;
-    long reportedAt;
+    long unseenKv;
+    long reportedAt = Long.MIN_VALUE;
+
+    void seen(Share share) {
+      if (unseen.remove(share)) {
+        unseenKv -= share.kv;
+      }
+    }
   }
 
   private final Map<String, Work> works = new HashMap<>();
@@ -22,42 +51,52 @@
    *
    * @param id identity of the target
    * @param kv tokens times layers that it will take there
+   * @param now present time in nanoseconds
+   * @return the request's share, to be released when it has left the target
    */
-  public void assigned(String id, long kv) {
+  public Share assigned(String id, long kv, long now) {
     Work work = works.computeIfAbsent(id, key -> new Work());
+    Share share = new Share(id, kv, now);
     work.requests++;
-    work.requestsSinceReport++;
-    work.kvSinceReport += kv;
+    work.unseen.add(share);
+    work.unseenKv += kv;
+    return share;
   }
 
   /**
    * Notes that a request has left a target.
    *
-   * @param id identity of the target
+   * @param share the request's share
    */
-  public void released(String id) {
-    Work work = works.get(id);
-    if (work != null && --work.requests <= 0 && work.requestsSinceReport == 0) {
-      works.remove(id);
+  public void released(Share share) {
+    Work work = works.get(share.target);
+    if (work == null) {
+      return;
+    }
+    work.requests--;
+    work.seen(share);
+    if (work.requests <= 0) {
+      works.remove(share.target);
     }
   }
 
   /**
-   * Notes that a target has reported; the report covers what was given before.
+   * Notes that a target has reported; the report covers what was given some time before.
    *
    * @param id identity of the target
-   * @param reportedAt when the report was made, in nanoseconds
+   * @param reportedAt when the report was read, in nanoseconds
    */
   public void reported(String id, long reportedAt) {
     Work work = works.get(id);
-    if (work == null || (work.reportedAt != 0 && work.reportedAt - reportedAt >= 0)) {
+    if (work == null || work.reportedAt >= reportedAt) {
       return;
     }
     work.reportedAt = reportedAt;
-    work.requestsSinceReport = 0;
-    work.kvSinceReport = 0;
-    if (work.requests <= 0) {
-      works.remove(id);
+    long shown = reportedAt - REPORT_LAG_NANOS;
+    for (Share share : Set.copyOf(work.unseen)) {
+      if (share.assignedAt - shown <= 0) {
+        work.seen(share);
+      }
     }
   }
 
@@ -68,16 +107,18 @@
    */
   public int requests(String id) {
     Work work = works.get(id);
-    return work == null ? 0 : Math.max(0, work.requests);
+    return work == null ? 0 : work.requests;
   }
 
-  int requestsSinceReport(String id) {
+  /** Returns how many of them the target's last report does not show. */
+  int unseenRequests(String id) {
     Work work = works.get(id);
-    return work == null ? 0 : work.requestsSinceReport;
+    return work == null ? 0 : work.unseen.size();
   }
 
-  long kvSinceReport(String id) {
+  /** Returns what those take of the target's memory, in tokens times layers. */
+  long unseenKv(String id) {
     Work work = works.get(id);
-    return work == null ? 0 : work.kvSinceReport;
+    return work == null ? 0 : work.unseenKv;
   }
 }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -130,7 +130,7 @@
       return Optional.empty();
     }
     EngineReport report = engine.freshReport(now).orElse(null);
-    double unseen = (double) own.requestsSinceReport(id) * vms;
+    double unseen = (double) own.unseenRequests(id) * vms;
     double running = report == null ? (double) own.requests(id) * vms : report.running() + unseen;
     double waiting = report == null ? 0 : report.waiting();
     double pace = report == null ? 1 : Math.max(1, report.pace());
@@ -160,7 +160,7 @@
     double free = kind.megabytes() - layers.size() * model.layerMegabytes();
     double total = report != null && report.kvTotal() > 0 ? report.kvTotal() : free / perTokenLayer;
     double used = report == null ? 0 : report.kvUsed();
-    double unseen = (double) own.kvSinceReport(engine.statement().id()) * vms;
+    double unseen = (double) own.unseenKv(engine.statement().id()) * vms;
     double wanted = (double) (need.promptTokens() + need.answerTokens()) * layers.size();
     return used + unseen + wanted <= total * KV_PLANNED_SHARE;
   }
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -138,7 +140,7 @@
     Map<String, Integer> counts = new HashMap<>();
     for (int i = 0; i < 40; i++) {
       Hop hop = plan(Set.of()).get(0);
-      own.assigned(hop.id(), 0);
+      own.assigned(hop.id(), 0, 1);
       counts.merge(hop.id(), 1, Integer::sum);
     }
     assertTrue(counts.values().stream().allMatch(n -> n >= 7), counts.toString());
@@ -203,4 +205,38 @@
         .plan(TestModels.MODEL, fleet.ready("lm", now), NEED, Set.of(), 7, now)
         .orElse(List.of());
   }
+
+  /**
+   * Load: no report comes for 4 s, as while no control VM leads. Each of 7 VMs runs 3 requests at a
+   * time of 0.3 s each on an engine with memory for 60. None may be turned away.
+   */
+  @Test
+  public void endedRequestsDoNotFillAnEngine() {
+    engine("e", "a", "whole", 0, 80);
+    long kv = 60L * (774 + 203) * 80;
+    LayerRange all = new LayerRange(0, 80);
+    fleet.reported(new EngineReport("e", true, 21, 0, 0, kv, 1, false, 1, all, 1), 1);
+    Deque<OwnLoad.Share> running = new ArrayDeque<>();
+    for (int i = 0; i < 40; i++) {
+      long now = TimeUnit.MILLISECONDS.toNanos(100L * i) + 1;
+      if (running.size() == 3) {
+        own.released(running.removeFirst());
+      }
+      List<Hop> hops = planAt(now, planner);
+      assertWhole(hops);
+      running.addLast(own.assigned("e", (774 + 203) * 80, now));
+    }
+  }
+
+  /** What was given shortly before a report is not in it yet, and still counts beside it. */
+  @Test
+  public void reportShowsOnlyWhatItCanKnow() {
+    long reported = TimeUnit.SECONDS.toNanos(10);
+    own.assigned("e", 100, reported - TimeUnit.MILLISECONDS.toNanos(500));
+    own.assigned("e", 10, reported - TimeUnit.MILLISECONDS.toNanos(100));
+    own.reported("e", reported);
+    assertEquals(own.unseenRequests("e"), 1);
+    assertEquals(own.unseenKv("e"), 10);
+    assertEquals(own.requests("e"), 2);
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -12,6 +12,7 @@
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
+import org.clementinesail.core.paths.OwnLoad;
 import org.jspecify.annotations.Nullable;
 
 /** One sending of a request to a target, and what comes back. */
@@ -45,6 +46,7 @@
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf whole;
   private @Nullable TargetCall call;
+  private List<OwnLoad.Share> shares = List.of();
   private Mode mode = Mode.HEAD;
   private boolean over;
   private long progressAt = System.nanoTime();
@@ -84,11 +86,10 @@
   }
 
   void begin(FullHttpRequest request, String requestId, long maxIdleNanos, RoutingState.Need need) {
-    if (model == null || path.isEmpty()) {
-      context.routing().own().assigned(target.id(), 0);
-    } else {
-      context.routing().assigned(path, model, need);
-    }
+    shares =
+        model == null || path.isEmpty()
+            ? List.of(context.routing().own().assigned(target.id(), 0, System.nanoTime()))
+            : context.routing().assigned(path, model, need);
     TargetCall started =
         context.targets().send(target.address(), requestId, request, maxIdleNanos, this);
     call = started;
@@ -114,10 +115,7 @@
 
   private void done() {
     over = true;
-    if (path.isEmpty()) {
-      context.routing().own().released(target.id());
-    }
-    path.forEach(hop -> context.routing().own().released(hop.id()));
+    shares.forEach(share -> context.routing().own().released(share));
     if (whole != null) {
       whole.release();
       whole = null;
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -161,17 +162,20 @@
         .map(path -> new Choice(fleet.member(path.get(0).id()).orElseThrow(), path));
   }
 
-  /** Notes that a request is given to the engines of a path. */
-  void assigned(List<Hop> path, EngineModel model, Need need) {
+  /** Notes that a request is given to the engines of a path; returns its shares of them. */
+  List<OwnLoad.Share> assigned(List<Hop> path, EngineModel model, Need need) {
+    long now = System.nanoTime();
+    List<OwnLoad.Share> shares = new ArrayList<>(path.size());
     long tokens = (long) need.promptTokens() + need.answerTokens();
     String at = path.get(0).dataCentre();
     for (Hop hop : path) {
-      own.assigned(hop.id(), tokens * hop.layers().size());
+      shares.add(own.assigned(hop.id(), tokens * hop.layers().size(), now));
       if (!hop.dataCentre().equals(at)) {
         at = hop.dataCentre();
-        pipe.crossed(PathPlanner.activationBits(model, need.promptTokens()), System.nanoTime());
+        pipe.crossed(PathPlanner.activationBits(model, need.promptTokens()), now);
       }
     }
+    return shares;
   }
 
   /**
