--- a/core/src/main/java/org/clementinesail/core/fleet/ReportPacing.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/ReportPacing.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 /**
@@ -18,13 +17,13 @@
  */
 public final class ReportPacing {
   /** How often an engine that holds layers is asked. */
-  private static final long SETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  private static final long SETTLED_NANOS = 1_000_000_000L;
 
   /** How often an engine that holds none, or works on an order, is asked. */
-  private static final long UNSETTLED_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+  private static final long UNSETTLED_NANOS = 400_000_000L;
 
   /** Shortest time in which all engines are asked once; a part of the usual interval. */
-  private static final long ROUND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  private static final long ROUND_NANOS = 700_000_000L;
 
   private final long turnNanos;
   private final Map<String, Long> askedAt = new HashMap<>();
--- a/core/src/main/java/org/clementinesail/core/limits/StartupWait.java
+++ b/core/src/main/java/org/clementinesail/core/limits/StartupWait.java
@@ -1,7 +1,5 @@
 package org.clementinesail.core.limits;
 
-import java.util.concurrent.TimeUnit;
-
 /**
  * Decides how long a request waits on a VM that has just started and knows no desired state yet.
  *
@@ -10,23 +8,31 @@
  * A short wait serves them; a refusal would be the end of their request.
  *
  * <pre>{@code
- * StartupWait wait = new StartupWait(System.nanoTime());
- * boolean waits = wait.allows(System.nanoTime(), receivedAt, patienceMillis);
+ * StartupWait wait = new StartupWait(startedAt);
+ * boolean waits = wait.allows(now, receivedAt, patienceMillis);
  * }</pre>
  */
 public final class StartupWait {
+  /**
+   * Time after a start from which on a wait is worth it: a desired state comes 2.3 to 2.7 s after
+   * the entry VMs where all VMs have started, so callers that come before would wait in vain.
+   */
+  private static final long IN_VAIN_NANOS = 900_000_000L;
+
   /**
    * Time after a start in which a desired state usually arrives: control VMs on a fraction of a
    * core take 2 s to start and half a second to elect.
    */
-  private static final long STARTUP_NANOS = TimeUnit.SECONDS.toNanos(6);
+  private static final long STARTUP_NANOS = 6_000_000_000L;
 
   /** Callers give a stream up whose first event does not come within 2 s. */
-  private static final long MOST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  private static final long MOST_WAIT_NANOS = 1_500_000_000L;
 
   /** Part of a caller's patience that may be waited, so that a retry has time left. */
   private static final int PATIENCE_DIVISOR = 3;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final long startedAt;
 
   /**
@@ -46,8 +52,10 @@
    * @param patienceMillis how long its caller will wait for the answer, or negative if not known
    */
   public boolean allows(long now, long receivedAt, long patienceMillis) {
-    long share = TimeUnit.MILLISECONDS.toNanos(patienceMillis) / PATIENCE_DIVISOR;
+    long share = patienceMillis * NANOS_PER_MILLI / PATIENCE_DIVISOR;
     long wait = patienceMillis < 0 ? MOST_WAIT_NANOS : Math.min(share, MOST_WAIT_NANOS);
-    return now - startedAt < STARTUP_NANOS && now - receivedAt < wait;
+    return receivedAt - startedAt >= IN_VAIN_NANOS
+        && now - startedAt < STARTUP_NANOS
+        && now - receivedAt < wait;
   }
 }
--- a/core/src/main/java/org/clementinesail/core/paths/LinkHealth.java
+++ b/core/src/main/java/org/clementinesail/core/paths/LinkHealth.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Which data centres this VM gets answers from late although no engine is at fault.
@@ -15,7 +14,7 @@
  */
 public final class LinkHealth {
   /** Time over which pauses are counted, and so how long a link is avoided after the last one. */
-  private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final long WINDOW_NANOS = 3_000_000_000L;
 
   /** Pauses in the window that speak of the link; a single one may be an engine's. */
   private static final int FEWEST_PAUSES = 2;
--- a/core/src/main/java/org/clementinesail/core/paths/OwnLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/OwnLoad.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The requests that this VM has at each target, and those of them that the target's last report
@@ -16,7 +15,7 @@
  */
 public final class OwnLoad {
   /** Reports show the engine as it was this long before. */
-  private static final long REPORT_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long REPORT_LAG_NANOS = 200_000_000L;
 
   /** One request at one target; told apart by identity. */
   public static final class Share {
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.fleet.ControlDialect;
 import org.clementinesail.server.fleet.Documents;
@@ -94,7 +95,8 @@
             settings.retryRatio(),
             settings.retrySlack());
     this.routing = new RoutingState(site, RandomGenerator.getDefault());
-    this.front = new FrontServer(loop, dialect, engines, routing, metrics, log);
+    StartupWait startupWait = new StartupWait(System.nanoTime());
+    this.front = new FrontServer(loop, dialect, engines, routing, startupWait, metrics, log);
     this.network =
         PeerNetwork.byAddress(
             settings.name(), null, new SharedSecret(settings.peerSecret()), new Frames(), group);
--- a/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -25,7 +25,7 @@
  * Accepts callers and runs their requests. Everything happens on one event loop.
  *
  * <pre>{@code
- * FrontServer front = new FrontServer(loop, dialect, engineDialect, routing, metrics, log);
+ * FrontServer front = new FrontServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
  * front.listen(new InetSocketAddress("10.1.0.40", 8227));
  * }</pre>
  */
@@ -56,6 +56,7 @@
    * @param dialect names of callers and targets
    * @param engines formats of engines' reports
    * @param routing what to route by
+   * @param startupWait how long requests wait for the first desired state
    * @param metrics counters and histograms
    * @param log lines for decisions
    */
@@ -64,6 +65,7 @@
       Dialect dialect,
       EngineDialect engines,
       RoutingState routing,
+      StartupWait startupWait,
       FrontMetrics metrics,
       DecisionLog log) {
     this.loop = loop;
@@ -76,7 +78,7 @@
             routing,
             pool,
             new FaultFinder(routing, probe, log),
-            new StartupWait(System.nanoTime()),
+            startupWait,
             metrics,
             log);
   }
