Set targets aside that lose answers

Ruled out: the VMs' connections (6 VMs, one engine), a crash (it went on sending heartbeats). Two answers lost within 3 s set a target aside for 3 s, a relapse for twice as long, 12 s at most; losses of three targets within 300 ms blame none. Tests: LostAnswersTest (plays the load: callers lose at most a third).

--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -228,10 +228,11 @@
   void lostBy(Attempt from, boolean staleConnection, String reason) {
     attempt = null;
     log.answerLost(from.target().id(), reason);
-    if (!staleConnection) {
-      excluded.add(from.target().id());
-    } else {
+    if (staleConnection) {
       runs.died();
+    } else {
+      excluded.add(from.target().id());
+      context.faults().lostAnswer(from.target());
     }
     boolean again = runs.again(route);
     runs.mayHaveRun();
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultFinder.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultFinder.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.fleet.LostAnswers;
+import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.server.logging.DecisionLog;
 
@@ -26,6 +28,7 @@
   private final EngineProbe probe;
   private final DecisionLog log;
   private final Map<String, Long> askedAt = new HashMap<>();
+  private final LostAnswers lostAnswers = new LostAnswers();
 
   FaultFinder(RoutingState routing, EngineProbe probe, DecisionLog log) {
     this.routing = routing;
@@ -77,8 +80,20 @@
     }
   }
 
+  /** Notes that a target has lost an answer, and sets it aside if it does so often. */
+  void lostAnswer(TargetStatement target) {
+    long nanos = lostAnswers.lost(target.id(), System.nanoTime());
+    if (nanos > 0) {
+      blame(target.address(), "it loses answers", nanos);
+    }
+  }
+
   /** Sets the target at an address aside. */
   void blame(String address, String reason) {
+    blame(address, reason, SUSPECT_NANOS);
+  }
+
+  private void blame(String address, String reason, long nanos) {
     long now = System.nanoTime();
     routing
         .fleet()
@@ -89,7 +104,7 @@
               if (!member.suspect(now)) {
                 log.write("target set aside", "target", id, "reason", reason);
               }
-              routing.fleet().suspect(id, now + SUSPECT_NANOS);
+              routing.fleet().suspect(id, now + nanos);
             });
   }
 }
