--- a/core/src/main/java/org/clementinesail/core/fleet/LostAnswers.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/LostAnswers.java
@@ -30,7 +30,12 @@
   private static final class Losses {
     final Deque<Long> times = new ArrayDeque<>();
     long asideNanos;
-    long asideUntil = Long.MIN_VALUE;
+    long asideUntil;
+
+    boolean forgotten(long now) {
+      boolean quiet = times.isEmpty() || now - times.getLast() > WINDOW_NANOS;
+      return quiet && (asideNanos == 0 || now - asideUntil > WINDOW_NANOS);
+    }
   }
 
   private record Loss(String id, long at) {}
@@ -46,6 +51,7 @@
    * @return for how many nanoseconds the target is to be set aside; 0 if it is not
    */
   public long lost(String id, long now) {
+    targets.values().removeIf(losses -> losses.forgotten(now));
     Losses losses = targets.computeIfAbsent(id, key -> new Losses());
     if (manyTargets(id, now)) {
       losses.times.clear();
