--- a/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FrontServer.java
@@ -25,7 +25,8 @@
  * Accepts callers and runs their requests. Everything happens on one event loop.
  *
  * <pre>{@code
- * FrontServer front = new FrontServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
+ * FrontServer front =
+ *     new FrontServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
  * front.listen(new InetSocketAddress("10.1.0.40", 8227));
  * }</pre>
  */
