Place a data centre's layers anew where a lost engine leaves too little memory for requests

Change: PlacementPlanner.planMoves compares the concurrency of the thinnest layer with that of the best placement of the engines present. Spare engines fill a gap first, then its two neighbours if that keeps half of the best concurrency; else, after 1.5 s, all layers of the data centre are placed anew, each engine keeping its place in the order so that few layers are loaded. Data centres that cannot hold the model are left alone while others hold it. Plans are kept by set of engines. Ruled out: admission; akl-a ran 90 requests and refused none.

--- a/core/src/main/java/org/clementinesail/core/placement/LayerCoverage.java
+++ b/core/src/main/java/org/clementinesail/core/placement/LayerCoverage.java
@@ -1,5 +1,6 @@
 package org.clementinesail.core.placement;
 
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.TreeSet;
 import org.clementinesail.core.desired.EngineModel;
@@ -28,6 +29,11 @@
     starts.add(range.from());
   }
 
+  /** Returns how many requests the holders of the thinnest layer have memory for; 0 with a gap. */
+  long minConcurrency() {
+    return Arrays.stream(concurrency).min().orElse(0);
+  }
+
   /** Returns whether other engines hold all layers of a range that was added. */
   boolean isSpare(LayerRange range) {
     for (int layer = range.from(); layer < Math.min(range.to(), holders.length); layer++) {
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
@@ -31,6 +31,12 @@
   /** How long layers are missing before an engine that holds other layers is moved. */
   private static final long MOVE_DELAY_NANOS = 700_000_000L;
 
+  /**
+   * How long layers are missing before those of a whole data centre are placed anew. Until then the
+   * lost engine may return, or may only have been silent.
+   */
+  private static final long REBUILD_DELAY_NANOS = 1_500_000_000L;
+
   /** Minimum time between two moves; engines load weights from a store that they share. */
   private static final long MOVE_INTERVAL_NANOS = 1_000_000_000L;
 
@@ -47,9 +53,10 @@
   private record PendingOrder(LayerRange layers, long expectedSequence, long sentAt) {}
 
   private final Map<String, PendingOrder> pending = new HashMap<>();
+  private @Nullable PlacementPlanner planner;
   private int lastEngineCount;
   private long engineCountChangedAt;
-  private long layersMissingSince = Long.MIN_VALUE;
+  private long moveNeededSince = Long.MIN_VALUE;
   private long lastMoveAt = Long.MIN_VALUE;
 
   /**
@@ -81,9 +88,11 @@
     if (unassigned * 2 > engines.size() && now - engineCountChangedAt < GROWTH_WAIT_NANOS) {
       return List.of();
     }
-    PlacementPlanner planner = new PlacementPlanner(model);
+    if (planner == null || !planner.model().equals(model)) {
+      planner = new PlacementPlanner(model);
+    }
     Map<String, LayerRange> assignments = new HashMap<>(planner.assignLayers(engines));
-    nextMove(planner, alive, now).ifPresent(e -> assignments.put(e.getKey(), e.getValue()));
+    assignments.putAll(nextMoves(planner, alive, now));
     pending.forEach((id, order) -> assignments.put(id, order.layers()));
     List<Order> orders = new ArrayList<>();
     for (Fleet.Member member : members) {
@@ -95,27 +104,30 @@
     return orders;
   }
 
-  private Optional<Map.Entry<String, LayerRange>> nextMove(
+  private Map<String, LayerRange> nextMoves(
       PlacementPlanner planner, List<PlacedEngine> alive, long now) {
-    boolean placementIncomplete =
-        !pending.isEmpty() || alive.stream().anyMatch(engine -> engine.layers() == null);
-    Optional<Map.Entry<String, LayerRange>> move =
-        placementIncomplete ? Optional.empty() : planner.planMove(alive);
-    if (move.isEmpty()) {
-      layersMissingSince = Long.MIN_VALUE;
-      return move;
+    if (!pending.isEmpty() || alive.stream().anyMatch(engine -> engine.layers() == null)) {
+      moveNeededSince = Long.MIN_VALUE;
+      return Map.of();
+    }
+    boolean mayRebuild =
+        moveNeededSince != Long.MIN_VALUE && now - moveNeededSince >= REBUILD_DELAY_NANOS;
+    PlacementPlanner.Moves moves = planner.planMoves(alive, mayRebuild);
+    if (!moves.needed()) {
+      moveNeededSince = Long.MIN_VALUE;
+      return Map.of();
     }
-    if (layersMissingSince == Long.MIN_VALUE) {
-      layersMissingSince = now;
+    if (moveNeededSince == Long.MIN_VALUE) {
+      moveNeededSince = now;
     }
     boolean tooEarly =
-        now - layersMissingSince < MOVE_DELAY_NANOS
+        now - moveNeededSince < MOVE_DELAY_NANOS
             || (lastMoveAt != Long.MIN_VALUE && now - lastMoveAt < MOVE_INTERVAL_NANOS);
-    if (tooEarly) {
-      return Optional.empty();
+    if (tooEarly || moves.ranges().isEmpty()) {
+      return Map.of();
     }
     lastMoveAt = now;
-    return move;
+    return moves.ranges();
   }
 
   private Optional<Order> createOrder(Fleet.Member member, LayerRange range, long now) {
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.targets.LayerRange;
 
@@ -25,9 +28,27 @@
  * }</pre>
  */
 public final class PlacementPlanner {
+  /**
+   * Share of the best possible concurrency below which a placement is changed: a change costs loads
+   * of weights, and some seconds in which the layers that move take no new requests.
+   */
+  private static final double MIN_USEFUL_SHARE = 0.5;
+
+  /** A site's engines change seldom, and one by one; more plans than sites need not be kept. */
+  private static final int MAX_CACHED_PLANS = 64;
+
   private final EngineModel model;
   private final PipelineEstimator estimator;
   private final PipelinePartitioner partitioner;
+  private final Map<Set<String>, Map<String, LayerRange>> plans = new HashMap<>();
+
+  /**
+   * Engines that should hold other layers.
+   *
+   * @param needed whether layers are missing or held with too little memory
+   * @param ranges new ranges by target identity; empty if nothing helps, or not yet
+   */
+  public record Moves(boolean needed, Map<String, LayerRange> ranges) {}
 
   /**
    * Creates a planner for one model.
@@ -40,6 +61,11 @@
     this.partitioner = new PipelinePartitioner(model, estimator);
   }
 
+  /** Returns the model that the planner was created for. */
+  public EngineModel model() {
+    return model;
+  }
+
   /**
    * Returns ranges, by target identity, for the engines that hold no layers. Engines with too
    * little memory for a layer and requests get none.
@@ -57,31 +83,24 @@
   }
 
   private Map<String, LayerRange> assignSite(List<PlacedEngine> site) {
-    Map<String, LayerRange> plan = partitioner.assign(site);
+    Map<String, LayerRange> plan = plan(site);
     if (!plan.isEmpty() && site.stream().allMatch(engine -> engine.layers() == null)) {
       return plan;
     }
-    LayerCoverage coverage = new LayerCoverage(model, estimator);
-    List<PlacedEngine> unassigned = new ArrayList<>();
-    for (PlacedEngine engine : site) {
-      LayerRange held = engine.layers();
-      if (held != null) {
-        coverage.add(engine.accelerator(), held);
-      } else if (estimator.maxLayers(engine.accelerator()) > 0) {
-        unassigned.add(engine);
-      }
-    }
+    LayerCoverage coverage = coverage(site);
+    List<PlacedEngine> unassigned = new ArrayList<>(site);
+    unassigned.removeIf(
+        engine -> engine.layers() != null || estimator.maxLayers(engine.accelerator()) == 0);
     unassigned.sort(
         Comparator.comparingDouble((PlacedEngine engine) -> -engine.accelerator().megabytes())
             .thenComparing(PlacedEngine::id));
+    int usefulConcurrency = usefulConcurrency(coverage(site, plan));
     Map<String, LayerRange> orders = new LinkedHashMap<>();
-    for (int i = 0; i < unassigned.size(); i++) {
-      PlacedEngine engine = unassigned.get(i);
-      int maxLayers = estimator.maxLayers(engine.accelerator());
+    for (PlacedEngine engine : unassigned) {
+      int maxLayers = Math.max(1, estimator.layersBeside(engine.accelerator(), usefulConcurrency));
       LayerRange planned = plan.get(engine.id());
       int usual = planned == null ? maxLayers : planned.size();
-      boolean last = i == unassigned.size() - 1;
-      LayerRange range = coverage.rangeFor(usual, last ? maxLayers : usual);
+      LayerRange range = coverage.rangeFor(usual, Math.max(usual, maxLayers));
       coverage.add(engine.accelerator(), range);
       orders.put(engine.id(), range);
     }
@@ -89,108 +108,194 @@
   }
 
   /**
-   * Returns the identity and the new range of one engine to move so that missing layers are held.
-   * Empty if no layers are missing, or if no engine can take them without leaving its own layers
-   * missing.
+   * Returns new ranges for engines if layers are missing or held with too little memory for
+   * requests: first by moves that leave nothing else missing, and if these do not help, by placing
+   * all layers of a data centre anew.
    *
    * @param engines all engines of the model that take work
+   * @param mayRebuild whether the layers of a whole data centre may be placed anew
    */
-  public Optional<Map.Entry<String, LayerRange>> planMove(List<PlacedEngine> engines) {
-    for (List<PlacedEngine> site : sites(engines)) {
-      LayerCoverage coverage = new LayerCoverage(model, estimator);
-      for (PlacedEngine engine : site) {
-        LayerRange held = engine.layers();
-        if (held != null) {
-          coverage.add(engine.accelerator(), held);
-        }
+  public Moves planMoves(List<PlacedEngine> engines, boolean mayRebuild) {
+    List<List<PlacedEngine>> sites = sites(engines);
+    boolean anyComplete = sites.stream().anyMatch(this::canHoldModel);
+    boolean needed = false;
+    for (List<PlacedEngine> site : sites) {
+      // Data centres that cannot hold the model together add to none while others hold it.
+      if (anyComplete && !canHoldModel(site)) {
+        continue;
       }
-      Optional<LayerRange> gap = coverage.largestGap();
-      Optional<Map.Entry<String, LayerRange>> move =
-          gap.flatMap(missing -> moveInto(missing, site, coverage));
-      if (move.isPresent()) {
-        return move;
+      Moves moves = planSiteMoves(site, mayRebuild);
+      needed |= moves.needed();
+      if (!moves.ranges().isEmpty()) {
+        return moves;
       }
     }
-    return Optional.empty();
-  }
-
-  /** Moves an engine whose layers others hold too; else extends a neighbour of the gap. */
-  private Optional<Map.Entry<String, LayerRange>> moveInto(
-      LayerRange gap, List<PlacedEngine> site, LayerCoverage coverage) {
-    // Prefers an engine that can hold the whole gap, and of these the smallest.
-    Optional<PlacedEngine> donor =
-        site.stream()
-            .filter(engine -> engine.layers() != null && coverage.isSpare(engine.layers()))
-            .min(
-                Comparator.comparingInt((PlacedEngine engine) -> -layersOf(gap, engine))
-                    .thenComparingDouble(engine -> engine.accelerator().megabytes())
-                    .thenComparing(PlacedEngine::id));
-    if (donor.isPresent()) {
-      PlacedEngine engine = donor.get();
-      int size = layersOf(gap, engine);
-      return Optional.of(Map.entry(engine.id(), new LayerRange(gap.from(), gap.from() + size)));
+    return new Moves(needed, Map.of());
+  }
+
+  private Moves planSiteMoves(List<PlacedEngine> site, boolean mayRebuild) {
+    Map<String, LayerRange> plan = plan(site);
+    LayerCoverage coverage = coverage(site);
+    int useful = usefulConcurrency(coverage(site, plan));
+    Optional<LayerRange> gap = coverage.largestGap();
+    if (gap.isEmpty() && coverage.minConcurrency() >= useful) {
+      return new Moves(false, Map.of());
     }
-    return site.stream()
-        .filter(engine -> isNextTo(gap, engine) && spareLayers(engine) > 0)
-        .max(Comparator.comparingInt(this::spareLayers).thenComparing(PlacedEngine::id))
-        .map(engine -> Map.entry(engine.id(), extended(engine, gap)))
-        .or(() -> shiftTowards(gap, site));
+    if (gap.isPresent()) {
+      Optional<Map<String, LayerRange>> spare = spareEngineInto(gap.get(), site, coverage, useful);
+      if (spare.isPresent()) {
+        return new Moves(true, spare.get());
+      }
+      Optional<Map<String, LayerRange>> closing = extendNeighbours(gap.get(), site);
+      if (closing.isPresent() && coverage(site, closing.get()).minConcurrency() >= useful) {
+        return new Moves(true, closing.get());
+      }
+    }
+    return new Moves(true, mayRebuild ? withFewestLoads(plan, site) : Map.of());
+  }
+
+  /** Returns the best ranges for the engines of a site, whatever they hold now. */
+  private Map<String, LayerRange> plan(List<PlacedEngine> site) {
+    Set<String> ids = site.stream().map(PlacedEngine::id).collect(Collectors.toSet());
+    if (plans.size() >= MAX_CACHED_PLANS && !plans.containsKey(ids)) {
+      plans.clear();
+    }
+    return plans.computeIfAbsent(ids, key -> partitioner.assign(site));
+  }
+
+  /** Returns the concurrency that a placement must keep up, given the best one for the engines. */
+  private static int usefulConcurrency(LayerCoverage best) {
+    return (int) (best.minConcurrency() * MIN_USEFUL_SHARE);
+  }
+
+  private LayerCoverage coverage(List<PlacedEngine> site) {
+    return coverage(site, Map.of());
+  }
+
+  /** Returns the coverage once some engines have got new ranges. */
+  private LayerCoverage coverage(List<PlacedEngine> site, Map<String, LayerRange> changed) {
+    LayerCoverage coverage = new LayerCoverage(model, estimator);
+    for (PlacedEngine engine : site) {
+      LayerRange range = changed.getOrDefault(engine.id(), engine.layers());
+      if (range != null) {
+        coverage.add(engine.accelerator(), range);
+      }
+    }
+    return coverage;
   }
 
   /**
-   * Shifts a full neighbour of the gap over it, so that the gap comes next to the nearest engine
-   * with memory for more layers. Empty if there is no such engine.
+   * Moves an engine whose layers others hold too; prefers one that can hold the whole gap, and of
+   * these the smallest.
    */
-  private Optional<Map.Entry<String, LayerRange>> shiftTowards(
+  private Optional<Map<String, LayerRange>> spareEngineInto(
+      LayerRange gap, List<PlacedEngine> site, LayerCoverage coverage, int concurrency) {
+    Comparator<PlacedEngine> byLayers =
+        Comparator.comparingInt(engine -> -layersOf(gap, engine, concurrency));
+    return site.stream()
+        .filter(engine -> engine.layers() != null && coverage.isSpare(engine.layers()))
+        .filter(engine -> layersOf(gap, engine, concurrency) > 0)
+        .min(
+            byLayers
+                .thenComparingDouble(engine -> engine.accelerator().megabytes())
+                .thenComparing(PlacedEngine::id))
+        .map(
+            engine -> {
+              int end = gap.from() + layersOf(gap, engine, concurrency);
+              return Map.of(engine.id(), new LayerRange(gap.from(), end));
+            });
+  }
+
+  private int layersOf(LayerRange gap, PlacedEngine engine, int concurrency) {
+    return Math.min(gap.size(), estimator.layersBeside(engine.accelerator(), concurrency));
+  }
+
+  /** Divides the gap between the engines before and after it, so that both keep most memory. */
+  private Optional<Map<String, LayerRange>> extendNeighbours(
       LayerRange gap, List<PlacedEngine> site) {
-    Optional<PlacedEngine> nearest =
-        site.stream()
-            .filter(engine -> engine.layers() != null && spareLayers(engine) > 0)
-            .min(
-                Comparator.comparingInt((PlacedEngine engine) -> distance(engine, gap))
-                    .thenComparing(PlacedEngine::id));
-    if (nearest.isEmpty()) {
-      return Optional.empty();
+    Optional<PlacedEngine> before = widest(site, engine -> endsAt(engine, gap.from()));
+    Optional<PlacedEngine> after = widest(site, engine -> startsAt(engine, gap.to()));
+    Map<String, LayerRange> best = Map.of();
+    long mostConcurrency = 0;
+    for (int cut = gap.from(); cut <= gap.to(); cut++) {
+      Map<String, LayerRange> moves = new LinkedHashMap<>();
+      int end = cut;
+      if (cut > gap.from()) {
+        before.ifPresent(e -> moves.put(e.id(), new LayerRange(held(e).from(), end)));
+      }
+      if (cut < gap.to()) {
+        after.ifPresent(e -> moves.put(e.id(), new LayerRange(end, held(e).to())));
+      }
+      long concurrency = coverage(site, moves).minConcurrency();
+      if (concurrency > mostConcurrency) {
+        mostConcurrency = concurrency;
+        best = moves;
+      }
     }
-    boolean below = Objects.requireNonNull(nearest.get().layers()).from() < gap.from();
-    return site.stream()
-        .filter(engine -> isNextTo(gap, engine))
-        .filter(engine -> (Objects.requireNonNull(engine.layers()).from() < gap.from()) == below)
-        .min(Comparator.comparing(PlacedEngine::id))
-        .map(engine -> Map.entry(engine.id(), shifted(engine, gap)));
+    return best.isEmpty() ? Optional.empty() : Optional.of(best);
   }
 
-  private static int distance(PlacedEngine engine, LayerRange gap) {
-    LayerRange held = Objects.requireNonNull(engine.layers());
-    return Math.max(gap.from() - held.to(), held.from() - gap.to());
+  private Optional<PlacedEngine> widest(
+      List<PlacedEngine> site, Predicate<PlacedEngine> condition) {
+    return site.stream()
+        .filter(engine -> engine.layers() != null && condition.test(engine))
+        .max(
+            Comparator.comparingInt(
+                    (PlacedEngine e) -> estimator.maxLayers(e.accelerator()) - held(e).size())
+                .thenComparing(PlacedEngine::id));
   }
 
-  private static LayerRange shifted(PlacedEngine engine, LayerRange gap) {
-    LayerRange held = Objects.requireNonNull(engine.layers());
-    int layers = held.to() == gap.from() ? gap.size() : -gap.size();
-    return new LayerRange(held.from() + layers, held.to() + layers);
+  private static boolean endsAt(PlacedEngine engine, int layer) {
+    return held(engine).to() == layer;
   }
 
-  private int layersOf(LayerRange gap, PlacedEngine engine) {
-    return Math.min(gap.size(), estimator.maxLayers(engine.accelerator()));
+  private static boolean startsAt(PlacedEngine engine, int layer) {
+    return held(engine).from() == layer;
   }
 
-  private static boolean isNextTo(LayerRange gap, PlacedEngine engine) {
-    LayerRange held = engine.layers();
-    return held != null && (held.to() == gap.from() || held.from() == gap.to());
+  private static LayerRange held(PlacedEngine engine) {
+    return Objects.requireNonNull(engine.layers());
   }
 
-  private LayerRange extended(PlacedEngine engine, LayerRange gap) {
-    LayerRange held = Objects.requireNonNull(engine.layers());
-    int added = Math.min(gap.size(), spareLayers(engine));
-    return held.to() == gap.from()
-        ? new LayerRange(held.from(), held.to() + added)
-        : new LayerRange(held.from() - added, held.to());
+  /**
+   * Gives the ranges of a plan to engines of the same kind in the order of the layers that they
+   * hold, so that most keep most of their layers. Returns only the ranges that change.
+   */
+  private static Map<String, LayerRange> withFewestLoads(
+      Map<String, LayerRange> plan, List<PlacedEngine> site) {
+    Map<List<String>, List<PlacedEngine>> groups = new HashMap<>();
+    for (PlacedEngine engine : site) {
+      if (plan.containsKey(engine.id())) {
+        groups
+            .computeIfAbsent(
+                List.of(engine.dataCentre(), engine.accelerator().kind()), key -> new ArrayList<>())
+            .add(engine);
+      }
+    }
+    Map<String, LayerRange> moves = new LinkedHashMap<>();
+    for (List<PlacedEngine> group : groups.values()) {
+      List<LayerRange> ranges = new ArrayList<>();
+      group.forEach(engine -> ranges.add(Objects.requireNonNull(plan.get(engine.id()))));
+      ranges.sort(Comparator.comparingInt(LayerRange::from).thenComparingInt(LayerRange::to));
+      group.sort(
+          Comparator.comparingInt(
+                  (PlacedEngine e) -> e.layers() == null ? Integer.MAX_VALUE : held(e).from())
+              .thenComparing(PlacedEngine::id));
+      for (int i = 0; i < group.size(); i++) {
+        if (!ranges.get(i).equals(group.get(i).layers())) {
+          moves.put(group.get(i).id(), ranges.get(i));
+        }
+      }
+    }
+    return moves;
   }
 
-  private int spareLayers(PlacedEngine engine) {
-    LayerRange held = engine.layers();
-    return held == null ? 0 : estimator.maxLayers(engine.accelerator()) - held.size();
+  private boolean canHoldModel(List<PlacedEngine> site) {
+    int layers = 0;
+    for (PlacedEngine engine : site) {
+      layers += estimator.maxLayers(engine.accelerator());
+    }
+    return layers >= model.layers();
   }
 
   /**
@@ -199,21 +304,18 @@
    */
   private List<List<PlacedEngine>> sites(List<PlacedEngine> engines) {
     Map<String, List<PlacedEngine>> byDataCentre = new TreeMap<>();
-    Map<String, Integer> layers = new HashMap<>();
     for (PlacedEngine engine : engines) {
       byDataCentre.computeIfAbsent(engine.dataCentre(), key -> new ArrayList<>()).add(engine);
-      layers.merge(engine.dataCentre(), estimator.maxLayers(engine.accelerator()), Integer::sum);
     }
     List<List<PlacedEngine>> sites = new ArrayList<>();
     List<PlacedEngine> shared = new ArrayList<>();
-    byDataCentre.forEach(
-        (dataCentre, members) -> {
-          if (layers.getOrDefault(dataCentre, 0) >= model.layers()) {
-            sites.add(members);
-          } else {
-            shared.addAll(members);
-          }
-        });
+    for (List<PlacedEngine> members : byDataCentre.values()) {
+      if (canHoldModel(members)) {
+        sites.add(members);
+      } else {
+        shared.addAll(members);
+      }
+    }
     if (!shared.isEmpty()) {
       sites.add(shared);
     }
