Remove lost voters before the next loss can leave no majority

Cause: a control VM that was replaced stayed a voter for 10.8 s beside its successor. Of four voters three are a majority; when the leader's disk was wiped meanwhile, two were left and nobody led again. Change: silent voters are removed after 3.6 s where the others tolerate more losses without them (four voters with one silent, seven with two), and a learner is promoted only while every voter answers, or once the silent one is removed. Ruled out: entering and leaving in one step: two majorities that do not overlap.

--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Replicates the log: a leader sends entries and counts replies, a follower stores entries. */
 final class LogReplication {
@@ -173,7 +174,6 @@
           Math.max(progress.matchIndex, Math.min(reply.match(), context.log.lastIndex()));
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
       advanceCommit();
-      promoteIfCaughtUp(from, progress);
     } else {
       long retryAfter = Math.min(reply.match(), progress.nextIndex - 2);
       progress.nextIndex = Math.max(progress.matchIndex, retryAfter) + 1;
@@ -210,11 +210,11 @@
     }
   }
 
-  private void promoteIfCaughtUp(ReplicaId from, LeaderState.Progress progress) {
-    boolean learner = context.config.learners().contains(from);
-    if (learner && progress.matchIndex >= context.commitIndex && context.canReconfigure()) {
-      reconfigure(context.config.withPromoted(from));
-    }
+  /** Returns a learner that holds all committed entries. */
+  Optional<ReplicaId> findCaughtUpLearner(LeaderState leaderState) {
+    return context.config.learners().stream()
+        .filter(id -> leaderState.progress(id, 0).matchIndex >= context.commitIndex)
+        .findFirst();
   }
 
   private void reply(ReplicaId to, boolean success, long match, long round) {
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -31,6 +31,8 @@
   private static final int MIN_VOTERS = 3;
   // Maximum election timeouts without contact until a voter may be replaced or Hellos are sent.
   private static final int SILENT_TIMEOUTS = 2;
+  // Maximum election timeouts without an answer until no learner is promoted beside a voter.
+  private static final int QUIET_TIMEOUTS = 1;
   // Maximum election timeouts without an answer until a voter is removed.
   private static final int REMOVAL_TIMEOUTS = 6;
 
@@ -141,6 +143,7 @@
     } else if (context.leaderState != null) {
       replication.tickLeader(context.leaderState, now);
       removeSilentVoter(now);
+      promoteLearner(now);
     } else {
       elections.tick(now);
       if (bootstrap.open() && isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now)) {
@@ -372,17 +375,49 @@
     replication.reconfigure(next);
   }
 
-  /** Removes a voter silent for {@link #REMOVAL_TIMEOUTS} if {@link #MIN_VOTERS} remain. */
+  /**
+   * Removes a silent voter if {@link #MIN_VOTERS} remain: soon if the others tolerate more losses
+   * without the silent voters than with them, else after {@link #REMOVAL_TIMEOUTS}.
+   */
   private void removeSilentVoter(long now) {
     LeaderState state = context.leaderState;
-    boolean enough = context.config.voters().size() > MIN_VOTERS;
-    if (state != null && bootstrap.open() && enough && context.canReconfigure()) {
-      findSilentVoter(state, REMOVAL_TIMEOUTS, now)
+    int voters = context.config.voters().size();
+    if (state == null || !bootstrap.open() || voters <= MIN_VOTERS || !context.canReconfigure()) {
+      return;
+    }
+    int live = voters - silentVoters(state, SILENT_TIMEOUTS, now).size();
+    boolean improves = live >= MIN_VOTERS && live / 2 + 1 < context.config.quorum();
+    findSilentVoter(state, improves ? SILENT_TIMEOUTS : REMOVAL_TIMEOUTS, now)
+        .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
+  }
+
+  /**
+   * Makes a learner that has caught up a voter. While a voter does not answer, the learner waits
+   * until it answers or has been removed: a lost voter that still counts beside its successor
+   * raises the majority, so that the next loss would leave none.
+   */
+  private void promoteLearner(long now) {
+    LeaderState state = context.leaderState;
+    if (state == null || !context.canReconfigure()) {
+      return;
+    }
+    Optional<ReplicaId> learner = replication.findCaughtUpLearner(state);
+    if (learner.isEmpty()) {
+      return;
+    }
+    if (findSilentVoter(state, QUIET_TIMEOUTS, now).isEmpty()) {
+      replication.reconfigure(context.config.withPromoted(learner.get()));
+    } else if (bootstrap.open()) {
+      findSilentVoter(state, SILENT_TIMEOUTS, now)
           .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
     }
   }
 
   private Optional<ReplicaId> findSilentVoter(LeaderState state, int timeouts, long now) {
+    return silentVoters(state, timeouts, now).stream().findFirst();
+  }
+
+  private List<ReplicaId> silentVoters(LeaderState state, int timeouts, long now) {
     return context.config.voters().stream()
         .filter(id -> !id.equals(context.self))
         .filter(
@@ -391,7 +426,7 @@
                     Math.max(state.electedAt(), state.progress(id, 0).ackedSendTime),
                     timeouts,
                     now))
-        .findFirst();
+        .toList();
   }
 
   private boolean isSilent(long lastContact, int timeouts, long now) {
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -93,4 +93,47 @@
     cluster.run(RECONFIGURATION_MILLIS);
     assertEquals(voters(cluster), List.of("a", "b", "c"));
   }
+
+  /**
+   * A VM is replaced by a blank one, and before the lost voter is removed for its silence the
+   * leader loses its disk: the two others still elect a leader, and all commands are kept.
+   */
+  @Test(dataProvider = "seeds")
+  public void replacedVoterCountsNoLongerWhenLeaderIsWiped(long seed) {
+    SimulatedCluster cluster = cluster(seed);
+    String leader = cluster.awaitLeader().vm;
+    String lost = leader.equals("c") ? "b" : "c";
+    cluster.kill(lost);
+    cluster.add("d");
+    cluster.run(3_000);
+    cluster.propose(cluster.awaitLeader().vm, 7);
+    cluster.run(200);
+    long committed = cluster.committed.size();
+    String second = cluster.awaitLeader().vm;
+    cluster.wipe(second);
+    cluster.start(second);
+    cluster.run(RECONFIGURATION_MILLIS);
+    assertTrue(cluster.awaitLeader().core.commitIndex() >= committed);
+  }
+
+  /** The same with five voters and two losses at once, twice. */
+  @Test(dataProvider = "seeds")
+  public void twoReplacedVotersCountNoLongerWhenTwoAreWiped(long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, "a", "b", "c", "d", "e");
+    cluster.run(RECONFIGURATION_MILLIS);
+    cluster.kill("d");
+    cluster.kill("e");
+    cluster.add("f");
+    cluster.add("g");
+    cluster.run(3_400);
+    cluster.propose(cluster.awaitLeader().vm, 7);
+    cluster.run(200);
+    long committed = cluster.committed.size();
+    for (String vm : List.of("a", "b")) {
+      cluster.wipe(vm);
+      cluster.start(vm);
+    }
+    cluster.run(RECONFIGURATION_MILLIS);
+    assertTrue(cluster.awaitLeader().core.commitIndex() >= committed);
+  }
 }
