--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -224,6 +224,11 @@
     return Optional.ofNullable(members.get(id));
   }
 
+  /** Returns the number of targets, including those that drain, have left or have no lease. */
+  public int size() {
+    return members.size();
+  }
+
   /** Returns a copy of all targets, including those that drain, have left or have no lease. */
   public Collection<Member> members() {
     return List.copyOf(members.values());
--- a/core/src/main/java/org/clementinesail/core/placement/LayerCoverage.java
+++ b/core/src/main/java/org/clementinesail/core/placement/LayerCoverage.java
@@ -12,7 +12,7 @@
   private final PipelineEstimator estimator;
   private final int[] holders;
   private final long[] concurrency;
-  private final TreeSet<Integer> starts = new TreeSet<>();
+  private final TreeSet<Integer> boundaries = new TreeSet<>();
 
   LayerCoverage(EngineModel model, PipelineEstimator estimator) {
     this.estimator = estimator;
@@ -26,7 +26,8 @@
       holders[layer]++;
       concurrency[layer] += requests;
     }
-    starts.add(range.from());
+    boundaries.add(range.from());
+    boundaries.add(range.to());
   }
 
   /** Returns how many requests the holders of the thinnest layer have memory for; 0 with a gap. */
@@ -61,7 +62,7 @@
 
   /**
    * Returns the range for another engine: missing layers first, else those whose holders have
-   * memory for the fewest requests, beginning where another range begins.
+   * memory for the fewest requests, beginning where another range begins or ends.
    *
    * @param usualLayers layers that the engine should hold
    * @param maxLayers layers that it may hold to close a gap
@@ -74,7 +75,7 @@
       return new LayerRange(missing.from(), missing.from() + size);
     }
     int size = Math.min(usualLayers, holders.length);
-    TreeSet<Integer> candidates = new TreeSet<>(starts.headSet(holders.length - size, true));
+    TreeSet<Integer> candidates = new TreeSet<>(boundaries.headSet(holders.length - size, true));
     candidates.add(holders.length - size);
     int best = holders.length - size;
     long fewest = Long.MAX_VALUE;
--- a/core/src/main/java/org/clementinesail/core/placement/PipelineEstimator.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PipelineEstimator.java
@@ -33,12 +33,13 @@
 
   private final EngineModel model;
   private final double kvMegabytesPerLayer;
+  private final int balancedConcurrency;
 
   /**
    * What a pipeline carries.
    *
    * @param concurrency number of mean requests that fit into the memory of every engine at a time,
-   *     at most the slots of an engine; 0 if the engines cannot hold all layers
+   *     at most the balanced number; 0 if the engines cannot hold all layers
    * @param requestsPerSecond mean requests completed per second at that concurrency
    */
   record Estimate(int concurrency, double requestsPerSecond) {}
@@ -52,6 +53,60 @@
     this.model = model;
     int tokens = Math.max(1, model.meanPromptTokens() + model.meanAnswerTokens());
     this.kvMegabytesPerLayer = tokens * model.kvBytesPerToken() / model.layers() / MEGA;
+    this.balancedConcurrency = balancedConcurrency();
+  }
+
+  /**
+   * Returns the concurrency x with the most requests per second for the memory of a pipeline. With
+   * W for the memory of the weights, K for that of a request, s for the time of a step and b for
+   * what each request adds to it, the rate for the memory is x / ((W + Kx) (s + bx)), which is
+   * highest where x² = Ws / Kb.
+   */
+  private int balancedConcurrency() {
+    double growth = requestStepMillis() * kvMegabytesPerLayer;
+    double balanced =
+        growth <= 0
+            ? model.slots()
+            : Math.sqrt(model.layerMegabytes() * model.stepMillis() / growth);
+    return (int)
+        Math.max(Math.min(MIN_CONCURRENCY, model.slots()), Math.min(model.slots(), balanced));
+  }
+
+  /** Returns what a request in progress adds to each step of all layers. */
+  private double requestStepMillis() {
+    double contextThousands =
+        (model.meanPromptTokens() + model.meanAnswerTokens()) / TOKENS_PER_CONTEXT_UNIT;
+    return model.perRequestMillis() + model.contextMillisPerThousandTokens() * contextThousands;
+  }
+
+  /** Returns how many layers a kind holds in a pipeline of balanced memory. */
+  int balancedLayers(Accelerator kind) {
+    return Math.max(1, layersBeside(kind, balancedConcurrency));
+  }
+
+  /**
+   * Returns the requests per second that each layer on a spare engine adds: its share of a pipeline
+   * with the mean speed of the given engines.
+   */
+  double spareRatePerLayer(List<PlacedEngine> engines) {
+    double layers = 0;
+    double millis = 0;
+    double stepMillis = model.stepMillis() + requestStepMillis();
+    for (PlacedEngine engine : engines) {
+      Accelerator kind = engine.accelerator();
+      int balanced = balancedLayers(kind);
+      layers += balanced;
+      millis +=
+          balanced
+              * (model.meanAnswerTokens() * kind.stepFactor() * stepMillis * PASSES_PER_STEP
+                  + kind.prefillFactor() * prefillMillis());
+    }
+    double meanMillis = Math.max(1, millis / Math.max(1, layers));
+    return balancedConcurrency / meanMillis * MILLIS_PER_SECOND / model.layers();
+  }
+
+  private double prefillMillis() {
+    return model.meanPromptTokens() / model.prefillTokensPerSecond() * MILLIS_PER_SECOND;
   }
 
   /** Returns how many layers a kind holds besides the KV caches of some mean requests. */
@@ -65,6 +120,15 @@
     return layersBeside(kind, MIN_CONCURRENCY);
   }
 
+  /** Returns whether engines can hold all layers together, each with memory for some requests. */
+  boolean canHoldModel(List<PlacedEngine> engines) {
+    int layers = 0;
+    for (PlacedEngine engine : engines) {
+      layers += maxLayers(engine.accelerator());
+    }
+    return layers >= model.layers();
+  }
+
   /** Returns how many mean requests fit beside the layers of an engine, at most its slots. */
   int concurrency(Accelerator kind, int layers) {
     double free = kind.megabytes() - layers * model.layerMegabytes();
@@ -90,15 +154,8 @@
     int[] layers = layersByKind(kinds, counts, concurrency);
     // A request is at one engine at a time, so each engine sees its share of them in a pass.
     double batch = Math.max(1, (double) concurrency / engines);
-    double contextThousands =
-        (model.meanPromptTokens() + model.meanAnswerTokens()) / TOKENS_PER_CONTEXT_UNIT;
-    double stepMillis =
-        model.stepMillis()
-            + batch
-                * (model.perRequestMillis()
-                    + model.contextMillisPerThousandTokens() * contextThousands);
-    double prefillMillis =
-        model.meanPromptTokens() / model.prefillTokensPerSecond() * MILLIS_PER_SECOND;
+    double stepMillis = model.stepMillis() + batch * requestStepMillis();
+    double prefillMillis = prefillMillis();
     double tokenMillis = engines * HOP_MILLIS;
     double totalMillis = 0;
     for (int i = 0; i < layers.length; i++) {
@@ -152,10 +209,10 @@
     return result;
   }
 
-  /** Returns the highest concurrency at which the engines hold all layers; -1 if none. */
+  /** Returns the highest useful concurrency at which the engines hold all layers; -1 if none. */
   private int maxConcurrency(List<Accelerator> kinds, int[] counts) {
     int low = -1;
-    int high = model.slots();
+    int high = balancedConcurrency;
     while (low < high) {
       int middle = (low + high + 1) >> 1;
       if (capacity(kinds, counts, middle) >= model.layers()) {
--- a/core/src/main/java/org/clementinesail/core/placement/PipelinePartitioner.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PipelinePartitioner.java
@@ -20,11 +20,11 @@
  * all engines and after the loss of one.
  */
 final class PipelinePartitioner {
-  /**
-   * Weight of the request rate after the loss of the best pipeline, relative to the rate with all
-   * engines: a site with one pipeline serves nothing until a lost engine is replaced.
-   */
-  private static final double LOSS_WEIGHT = 2;
+  /** Weight of the request rate after the loss of the best pipeline, relative to the full rate. */
+  private static final double LOSS_WEIGHT = 1;
+
+  /** Weight of an engine that stays spare: it serves part of a path, and replaces lost ones. */
+  private static final double SPARE_WEIGHT = 0.5;
 
   private final EngineModel model;
   private final PipelineEstimator estimator;
@@ -38,7 +38,7 @@
    * Best division of the first engines into a number of pipelines, with some left out if that is
    * better.
    *
-   * @param rate requests per second of all pipelines
+   * @param rate requests per second of all pipelines, and weighted those of the spare engines
    * @param start index of the first engine of the last pipeline
    * @param end index after its last engine
    */
@@ -51,7 +51,9 @@
    * @param engines engines of one data centre, or of several that share a model
    */
   Map<String, LayerRange> assign(List<PlacedEngine> engines) {
-    return ranges(pipelines(engines));
+    Map<String, LayerRange> ranges = new LinkedHashMap<>();
+    pipelines(engines).forEach(pipeline -> ranges.putAll(ranges(pipeline)));
+    return ranges;
   }
 
   /** Returns the pipelines; engines that are best left out are in none. */
@@ -66,14 +68,19 @@
             .thenComparing(PlacedEngine::id));
     int maxPipelines = maxPipelines(sorted);
     double[][] rates = segmentRates(sorted);
-    @Nullable Division[][] divisions = divisions(rates, maxPipelines);
+    double ratePerLayer = SPARE_WEIGHT * estimator.spareRatePerLayer(sorted);
+    double[] spareRates =
+        sorted.stream()
+            .mapToDouble(e -> ratePerLayer * estimator.balancedLayers(e.accelerator()))
+            .toArray();
+    @Nullable Division[][] divisions = divisions(rates, spareRates, maxPipelines);
     List<List<PlacedEngine>> best = List.of();
     for (int count = 1; count <= maxPipelines; count++) {
       List<List<PlacedEngine>> fastest = new ArrayList<>();
       divisions(divisions, count, sorted.size())
           .forEach(division -> fastest.add(sorted.subList(division.start(), division.end())));
       for (List<List<PlacedEngine>> candidate : List.of(fastest, dealt(sorted, count))) {
-        if (score(candidate) > score(best)) {
+        if (score(candidate, sorted) > score(best, sorted)) {
           best = candidate;
         }
       }
@@ -121,15 +128,22 @@
   }
 
   /** Returns the divisions with the highest rate, by number of pipelines and of engines. */
-  private static @Nullable Division[][] divisions(double[][] rates, int maxPipelines) {
+  private static @Nullable Division[][] divisions(
+      double[][] rates, double[] spareRates, int maxPipelines) {
     int engines = rates.length;
     @Nullable Division[][] best = new @Nullable Division[maxPipelines + 1][engines + 1];
+    double spare = 0;
     for (int to = 0; to <= engines; to++) {
-      best[0][to] = new Division(0, 0, 0);
+      best[0][to] = new Division(spare, 0, 0);
+      spare += to < engines ? spareRates[to] : 0;
     }
     for (int pipelines = 1; pipelines <= maxPipelines; pipelines++) {
       for (int to = pipelines; to <= engines; to++) {
-        Division current = best[pipelines][to - 1];
+        Division without = best[pipelines][to - 1];
+        Division current =
+            without == null
+                ? null
+                : new Division(without.rate() + spareRates[to - 1], without.start(), without.end());
         int first = Math.max(pipelines - 1, to - PipelineEstimator.MAX_ENGINES);
         for (int from = first; from < to; from++) {
           Division before = best[pipelines - 1][from];
@@ -163,10 +177,18 @@
     return result;
   }
 
-  /** Returns the request rate with all engines, and in addition that without the best pipeline. */
-  private double score(List<List<PlacedEngine>> pipelines) {
+  /**
+   * Returns the request rate with all engines, in addition that without the best pipeline, and the
+   * weighted rate of the spare engines.
+   */
+  private double score(List<List<PlacedEngine>> pipelines, List<PlacedEngine> engines) {
     double total = 0;
     double highest = 0;
+    double spare = 0;
+    double ratePerLayer = estimator.spareRatePerLayer(engines);
+    for (PlacedEngine engine : engines) {
+      spare += ratePerLayer * estimator.balancedLayers(engine.accelerator());
+    }
     for (List<PlacedEngine> pipeline : pipelines) {
       double rate = estimator.estimate(pipeline).requestsPerSecond();
       if (rate == 0) {
@@ -174,21 +196,23 @@
       }
       total += rate;
       highest = Math.max(highest, rate);
+      for (PlacedEngine engine : pipeline) {
+        spare -= ratePerLayer * estimator.balancedLayers(engine.accelerator());
+      }
     }
-    return total + LOSS_WEIGHT * (total - highest);
+    return pipelines.isEmpty() ? 0 : total + LOSS_WEIGHT * (total - highest) + SPARE_WEIGHT * spare;
   }
 
-  private Map<String, LayerRange> ranges(List<List<PlacedEngine>> pipelines) {
+  /** Returns the ranges, by target identity, of the engines of a pipeline, in the given order. */
+  Map<String, LayerRange> ranges(List<PlacedEngine> pipeline) {
     Map<String, LayerRange> ranges = new LinkedHashMap<>();
-    for (List<PlacedEngine> pipeline : pipelines) {
-      int[] layers = estimator.layersByEngine(pipeline);
-      int from = 0;
-      for (int i = 0; i < layers.length; i++) {
-        if (layers[i] > 0) {
-          ranges.put(pipeline.get(i).id(), new LayerRange(from, from + layers[i]));
-        }
-        from += layers[i];
+    int[] layers = estimator.layersByEngine(pipeline);
+    int from = 0;
+    for (int i = 0; i < layers.length; i++) {
+      if (layers[i] > 0) {
+        ranges.put(pipeline.get(i).id(), new LayerRange(from, from + layers[i]));
       }
+      from += layers[i];
     }
     return ranges;
   }
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementController.java
@@ -32,10 +32,16 @@
   private static final long MOVE_DELAY_NANOS = 700_000_000L;
 
   /**
-   * How long layers are missing before those of a whole data centre are placed anew. Until then the
-   * lost engine may return, or may only have been silent.
+   * How long layers are missing before they are spread over the remaining engines of a chain. Until
+   * then the engine may only have been silent, or its replacement may join.
    */
-  private static final long REBUILD_DELAY_NANOS = 1_500_000_000L;
+  private static final long SPREAD_DELAY_NANOS = 1_500_000_000L;
+
+  /**
+   * How long a placement is bad before that of a whole data centre is changed, which takes about as
+   * long: a crashed engine has usually returned by then.
+   */
+  private static final long REBUILD_DELAY_NANOS = 6_000_000_000L;
 
   /** Minimum time between two moves; engines load weights from a store that they share. */
   private static final long MOVE_INTERVAL_NANOS = 1_000_000_000L;
@@ -110,9 +116,7 @@
       moveNeededSince = Long.MIN_VALUE;
       return Map.of();
     }
-    boolean mayRebuild =
-        moveNeededSince != Long.MIN_VALUE && now - moveNeededSince >= REBUILD_DELAY_NANOS;
-    PlacementPlanner.Moves moves = planner.planMoves(alive, mayRebuild);
+    PlacementPlanner.Moves moves = planner.planMoves(alive, allowedExtent(now));
     if (!moves.needed()) {
       moveNeededSince = Long.MIN_VALUE;
       return Map.of();
@@ -130,6 +134,16 @@
     return moves.ranges();
   }
 
+  private PlacementPlanner.Extent allowedExtent(long now) {
+    long badFor = moveNeededSince == Long.MIN_VALUE ? 0 : now - moveNeededSince;
+    if (badFor >= REBUILD_DELAY_NANOS) {
+      return PlacementPlanner.Extent.DATA_CENTRE;
+    }
+    return badFor >= SPREAD_DELAY_NANOS
+        ? PlacementPlanner.Extent.CHAIN
+        : PlacementPlanner.Extent.NEIGHBOURS;
+  }
+
   private Optional<Order> createOrder(Fleet.Member member, LayerRange range, long now) {
     String id = member.statement().id();
     EngineReport report = member.freshReport(now).orElse(null);
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
@@ -42,6 +42,16 @@
   private final PipelinePartitioner partitioner;
   private final Map<Set<String>, Map<String, LayerRange>> plans = new HashMap<>();
 
+  /** How many engines may be moved: the more, the longer their layers take no new requests. */
+  public enum Extent {
+    /** Spare engines, and those next to missing layers. */
+    NEIGHBOURS,
+    /** All engines of a data centre that holds each layer once, by a few layers each. */
+    CHAIN,
+    /** All engines of a data centre, to the best placement for them. */
+    DATA_CENTRE
+  }
+
   /**
    * Engines that should hold other layers.
    *
@@ -84,23 +94,24 @@
 
   private Map<String, LayerRange> assignSite(List<PlacedEngine> site) {
     Map<String, LayerRange> plan = plan(site);
-    if (!plan.isEmpty() && site.stream().allMatch(engine -> engine.layers() == null)) {
-      return plan;
-    }
-    LayerCoverage coverage = coverage(site);
+    boolean allNew = site.stream().allMatch(engine -> engine.layers() == null);
+    Map<String, LayerRange> orders = new LinkedHashMap<>(allNew ? plan : Map.of());
+    LayerCoverage coverage = coverage(site, orders);
     List<PlacedEngine> unassigned = new ArrayList<>(site);
     unassigned.removeIf(
-        engine -> engine.layers() != null || estimator.maxLayers(engine.accelerator()) == 0);
+        engine ->
+            engine.layers() != null
+                || orders.containsKey(engine.id())
+                || estimator.maxLayers(engine.accelerator()) == 0);
     unassigned.sort(
         Comparator.comparingDouble((PlacedEngine engine) -> -engine.accelerator().megabytes())
             .thenComparing(PlacedEngine::id));
     int usefulConcurrency = usefulConcurrency(coverage(site, plan));
-    Map<String, LayerRange> orders = new LinkedHashMap<>();
     for (PlacedEngine engine : unassigned) {
-      int maxLayers = Math.max(1, estimator.layersBeside(engine.accelerator(), usefulConcurrency));
       LayerRange planned = plan.get(engine.id());
-      int usual = planned == null ? maxLayers : planned.size();
-      LayerRange range = coverage.rangeFor(usual, Math.max(usual, maxLayers));
+      int usual = planned == null ? estimator.balancedLayers(engine.accelerator()) : planned.size();
+      int most = estimator.layersBeside(engine.accelerator(), usefulConcurrency);
+      LayerRange range = coverage.rangeFor(usual, Math.max(usual, most));
       coverage.add(engine.accelerator(), range);
       orders.put(engine.id(), range);
     }
@@ -109,13 +120,13 @@
 
   /**
    * Returns new ranges for engines if layers are missing or held with too little memory for
-   * requests: first by moves that leave nothing else missing, and if these do not help, by placing
-   * all layers of a data centre anew.
+   * requests: first by moves that leave nothing else missing, and if these do not help, by moves of
+   * more engines.
    *
    * @param engines all engines of the model that take work
-   * @param mayRebuild whether the layers of a whole data centre may be placed anew
+   * @param extent how many engines may be moved
    */
-  public Moves planMoves(List<PlacedEngine> engines, boolean mayRebuild) {
+  public Moves planMoves(List<PlacedEngine> engines, Extent extent) {
     List<List<PlacedEngine>> sites = sites(engines);
     boolean anyComplete = sites.stream().anyMatch(this::canHoldModel);
     boolean needed = false;
@@ -124,7 +135,7 @@
       if (anyComplete && !canHoldModel(site)) {
         continue;
       }
-      Moves moves = planSiteMoves(site, mayRebuild);
+      Moves moves = planSiteMoves(site, extent);
       needed |= moves.needed();
       if (!moves.ranges().isEmpty()) {
         return moves;
@@ -133,7 +144,7 @@
     return new Moves(needed, Map.of());
   }
 
-  private Moves planSiteMoves(List<PlacedEngine> site, boolean mayRebuild) {
+  private Moves planSiteMoves(List<PlacedEngine> site, Extent extent) {
     Map<String, LayerRange> plan = plan(site);
     LayerCoverage coverage = coverage(site);
     int useful = usefulConcurrency(coverage(site, plan));
@@ -150,8 +161,52 @@
       if (closing.isPresent() && coverage(site, closing.get()).minConcurrency() >= useful) {
         return new Moves(true, closing.get());
       }
+      if (extent != Extent.NEIGHBOURS && isChain(site)) {
+        return new Moves(true, spread(site));
+      }
+    }
+    boolean rebuild = extent == Extent.DATA_CENTRE;
+    return new Moves(true, rebuild ? withFewestLoads(plan, site) : Map.of());
+  }
+
+  /** Returns whether all engines hold layers and no layer is held twice. */
+  private static boolean isChain(List<PlacedEngine> site) {
+    if (site.stream().anyMatch(engine -> engine.layers() == null)) {
+      return false;
+    }
+    List<PlacedEngine> chain = inLayerOrder(site);
+    for (int i = 1; i < chain.size(); i++) {
+      if (held(chain.get(i)).from() < held(chain.get(i - 1)).to()) {
+        return false;
+      }
     }
-    return new Moves(true, mayRebuild ? withFewestLoads(plan, site) : Map.of());
+    return true;
+  }
+
+  private static List<PlacedEngine> inLayerOrder(List<PlacedEngine> site) {
+    List<PlacedEngine> chain = new ArrayList<>(site);
+    chain.sort(
+        Comparator.comparingInt((PlacedEngine e) -> held(e).from())
+            .thenComparing(PlacedEngine::id));
+    return chain;
+  }
+
+  /** Spreads all layers over a chain; each engine keeps its place, and so most of its layers. */
+  private Map<String, LayerRange> spread(List<PlacedEngine> site) {
+    List<PlacedEngine> chain = inLayerOrder(site);
+    if (!estimator.canHoldModel(chain)) {
+      return Map.of();
+    }
+    Map<String, LayerRange> moves = new LinkedHashMap<>();
+    partitioner
+        .ranges(chain)
+        .forEach(
+            (id, range) -> {
+              if (chain.stream().noneMatch(e -> e.id().equals(id) && range.equals(e.layers()))) {
+                moves.put(id, range);
+              }
+            });
+    return moves;
   }
 
   /** Returns the best ranges for the engines of a site, whatever they hold now. */
@@ -291,11 +346,7 @@
   }
 
   private boolean canHoldModel(List<PlacedEngine> site) {
-    int layers = 0;
-    for (PlacedEngine engine : site) {
-      layers += estimator.maxLayers(engine.accelerator());
-    }
-    return layers >= model.layers();
+    return estimator.canHoldModel(site);
   }
 
   /**
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -25,21 +25,14 @@
   // Followers up to this many entries behind the snapshot get entries instead of the snapshot.
   private static final int ENTRIES_KEPT_BEFORE_SNAPSHOT = 256;
   private static final int HELLO_INTERVAL_HEARTBEATS = 3;
-  // Voters and learners; more would slow down each commit and tolerate more failures than needed.
-  private static final int MAX_MEMBERS = 7;
-  // A silent voter is removed only if this many voters remain; 3 tolerate one more failure.
-  private static final int MIN_VOTERS = 3;
-  // Maximum election timeouts without contact until a voter may be replaced or Hellos are sent.
+  // Maximum election timeouts without contact until Hellos are sent.
   private static final int SILENT_TIMEOUTS = 2;
-  // Maximum election timeouts without an answer until no learner is promoted beside a voter.
-  private static final int QUIET_TIMEOUTS = 1;
-  // Maximum election timeouts without an answer until a voter is removed.
-  private static final int REMOVAL_TIMEOUTS = 6;
 
   private final ReplicaContext context;
   private final LogReplication replication;
   private final Elections elections;
   private final ClusterBootstrap bootstrap;
+  private final VoterChanges voters;
   private long nextHelloAt;
 
   /**
@@ -63,6 +56,7 @@
     this.replication = new LogReplication(context);
     this.elections = new Elections(context, replication);
     this.bootstrap = new ClusterBootstrap(self, membership);
+    this.voters = new VoterChanges(context, replication, bootstrap);
   }
 
   /** Returns the VM and the disk id of this replica. */
@@ -142,8 +136,7 @@
       findOrFormCluster(now);
     } else if (context.leaderState != null) {
       replication.tickLeader(context.leaderState, now);
-      removeSilentVoter(now);
-      promoteLearner(now);
+      voters.tick(context.leaderState, now);
     } else {
       elections.tick(now);
       if (bootstrap.open() && isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now)) {
@@ -233,7 +226,7 @@
       onHello(message, hello, now);
     } else if (body instanceof JoinRequest join) {
       if (message.clusterId() == context.clusterId && context.leaderState != null) {
-        addLearner(join.joiner(), join.blank(), now);
+        voters.addLearner(context.leaderState, join.joiner(), join.blank(), now);
       }
     } else if (body instanceof InitialConfig initial) {
       onInitialConfig(message, initial, now);
@@ -340,7 +333,7 @@
     }
     Snapshot snapshot = context.log.snapshot();
     if (context.leaderState != null) {
-      addLearner(from, hello.blank(), now);
+      voters.addLearner(context.leaderState, from, hello.blank(), now);
     } else if (member && snapshot.index() == 0) {
       context.send(from, context.term, new InitialConfig(snapshot.config()));
     } else if (!member && bootstrap.open() && context.leader != null) {
@@ -348,87 +341,6 @@
     }
   }
 
-  /** Adds a replica as a learner, replacing a replica on the same VM or a silent voter. */
-  private void addLearner(ReplicaId joiner, boolean blank, long now) {
-    LeaderState state = context.leaderState;
-    if (state == null) {
-      return;
-    }
-    if (context.config.members().contains(joiner)) {
-      if (blank) {
-        replication.resendSnapshot(state, joiner);
-      }
-      return;
-    }
-    if (!bootstrap.mayJoin(joiner.vm()) || !context.canReconfigure()) {
-      return;
-    }
-    ReplicaConfig next = context.config.withLearner(joiner);
-    if (next.voters().size() == context.config.voters().size()) {
-      Optional<ReplicaId> silent = findSilentVoter(state, SILENT_TIMEOUTS, now);
-      if (silent.isPresent()) {
-        next = next.without(silent.get());
-      } else if (next.members().size() > MAX_MEMBERS) {
-        return;
-      }
-    }
-    replication.reconfigure(next);
-  }
-
-  /**
-   * Removes a silent voter if {@link #MIN_VOTERS} remain: soon if the others tolerate more losses
-   * without the silent voters than with them, else after {@link #REMOVAL_TIMEOUTS}.
-   */
-  private void removeSilentVoter(long now) {
-    LeaderState state = context.leaderState;
-    int voters = context.config.voters().size();
-    if (state == null || !bootstrap.open() || voters <= MIN_VOTERS || !context.canReconfigure()) {
-      return;
-    }
-    int live = voters - silentVoters(state, SILENT_TIMEOUTS, now).size();
-    boolean improves = live >= MIN_VOTERS && live / 2 + 1 < context.config.quorum();
-    findSilentVoter(state, improves ? SILENT_TIMEOUTS : REMOVAL_TIMEOUTS, now)
-        .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
-  }
-
-  /**
-   * Makes a learner that has caught up a voter. While a voter does not answer, the learner waits
-   * until it answers or has been removed: a lost voter that still counts beside its successor
-   * raises the majority, so that the next loss would leave none.
-   */
-  private void promoteLearner(long now) {
-    LeaderState state = context.leaderState;
-    if (state == null || !context.canReconfigure()) {
-      return;
-    }
-    Optional<ReplicaId> learner = replication.findCaughtUpLearner(state);
-    if (learner.isEmpty()) {
-      return;
-    }
-    if (findSilentVoter(state, QUIET_TIMEOUTS, now).isEmpty()) {
-      replication.reconfigure(context.config.withPromoted(learner.get()));
-    } else if (bootstrap.open()) {
-      findSilentVoter(state, SILENT_TIMEOUTS, now)
-          .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
-    }
-  }
-
-  private Optional<ReplicaId> findSilentVoter(LeaderState state, int timeouts, long now) {
-    return silentVoters(state, timeouts, now).stream().findFirst();
-  }
-
-  private List<ReplicaId> silentVoters(LeaderState state, int timeouts, long now) {
-    return context.config.voters().stream()
-        .filter(id -> !id.equals(context.self))
-        .filter(
-            id ->
-                isSilent(
-                    Math.max(state.electedAt(), state.progress(id, 0).ackedSendTime),
-                    timeouts,
-                    now))
-        .toList();
-  }
-
   private boolean isSilent(long lastContact, int timeouts, long now) {
     return now - lastContact > timeouts * context.timing.maxElectionTimeoutNanos();
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
@@ -1,10 +1,9 @@
 package org.clementinesail.server.proxy;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.fleet.LostAnswerDetector;
+import org.clementinesail.core.fleet.StallProbeScheduler;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.server.logging.DecisionLog;
@@ -24,13 +23,10 @@
    */
   private static final long MIN_EXTRA_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
-  /** Minimum time between two probes of an engine. */
-  private static final long MIN_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
   private final RoutingState routing;
   private final EngineProbe probe;
   private final DecisionLog log;
-  private final Map<String, Long> probedAt = new HashMap<>();
+  private final StallProbeScheduler probeScheduler = new StallProbeScheduler();
   private final LostAnswerDetector lostResponses = new LostAnswerDetector();
 
   FaultDetector(RoutingState routing, EngineProbe probe, DecisionLog log) {
@@ -41,8 +37,9 @@
 
   /**
    * Returns whether a response has stalled on a path with a suspect engine. If it has stalled but
-   * no engine is suspect, probes all engines of the path: the first one reports which others it
-   * waits for, but only about 200 ms later, while a crashed engine refuses the connection at once.
+   * no engine is suspect, probes the engines of the path as the scheduler allows: the first one
+   * reports which others it waits for, but only about 200 ms later, while a crashed engine refuses
+   * the connection at once.
    */
   boolean shouldSwitchPath(List<Hop> path, long pauseNanos, long usualPauseNanos) {
     if (pauseNanos <= MIN_EXTRA_PAUSE_NANOS + usualPauseNanos * 3 / 2) {
@@ -50,7 +47,7 @@
     }
     boolean atFault = path.stream().anyMatch(hop -> isSuspect(hop.id()));
     if (!atFault) {
-      path.forEach(this::probeEngine);
+      probeEngines(path);
     }
     return atFault;
   }
@@ -61,15 +58,15 @@
     return routing.fleet().member(id).map(m -> m.isSuspect(now)).orElse(true);
   }
 
-  private void probeEngine(Hop hop) {
-    long now = System.nanoTime();
-    Long last = probedAt.get(hop.id());
-    if (last != null && now - last < MIN_PROBE_INTERVAL_NANOS) {
-      return;
+  private void probeEngines(List<Hop> path) {
+    List<String> ids = path.stream().map(Hop::id).toList();
+    List<String> due =
+        probeScheduler.select(ids, routing.fleet().size(), routing.trafficVms(), System.nanoTime());
+    for (Hop hop : path) {
+      if (due.contains(hop.id())) {
+        probe.requestReport(hop.id(), hop.address(), result -> onProbeResult(hop, result));
+      }
     }
-    probedAt.values().removeIf(at -> now - at >= MIN_PROBE_INTERVAL_NANOS);
-    probedAt.put(hop.id(), now);
-    probe.requestReport(hop.id(), hop.address(), result -> onProbeResult(hop, result));
   }
 
   private void onProbeResult(Hop hop, EngineProbe.Result result) {
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -122,6 +122,11 @@
     }
   }
 
+  /** Returns how many VMs carry traffic, as far as this VM knows; at least 1. */
+  int trafficVms() {
+    return trafficVms;
+  }
+
   /**
    * Records a report of an engine.
    *
