Hand over leadership and readiness on VMs that get too little processor time

A slow leader still sends heartbeats in time to stay leader, and delays every change and report; a slow entry VM still answers its readiness check. Change: LagDetector counts how late regular timers fire over about two seconds. A leader that is late by three heartbeat intervals hands over; an entry VM that is late by a second is not ready until it has recovered. The load balancer ignores readiness where half of a data centre's VMs are not ready. Ruled out: leases and election timeouts alone; a leader that runs every 200 ms keeps both.

--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.replication.ReplicaMessage.InitialConfig;
 import org.clementinesail.core.replication.ReplicaMessage.JoinRequest;
 
@@ -27,12 +28,15 @@
   private static final int HELLO_INTERVAL_HEARTBEATS = 3;
   // Maximum election timeouts without contact until Hellos are sent.
   private static final int SILENT_TIMEOUTS = 2;
+  // Heartbeat intervals that a leader may be late by within two seconds.
+  private static final int MAX_LATE_HEARTBEATS = 3;
 
   private final ReplicaContext context;
   private final LogReplication replication;
   private final Elections elections;
   private final ClusterBootstrap bootstrap;
   private final VoterChanges voters;
+  private final LagDetector lag;
   private long nextHelloAt;
 
   /**
@@ -57,6 +61,8 @@
     this.elections = new Elections(context, replication);
     this.bootstrap = new ClusterBootstrap(self, membership);
     this.voters = new VoterChanges(context, replication, bootstrap);
+    this.lag =
+        new LagDetector(timing.heartbeatNanos(), MAX_LATE_HEARTBEATS * timing.heartbeatNanos());
   }
 
   /** Returns the VM and the disk id of this replica. */
@@ -132,11 +138,13 @@
    * @param now current time in nanoseconds
    */
   public void tick(long now) {
+    lag.tick(now);
     if (context.role == Role.BLANK) {
       findOrFormCluster(now);
     } else if (context.leaderState != null) {
       replication.tickLeader(context.leaderState, now);
       voters.tick(context.leaderState, now);
+      handOverIfLagging(now);
     } else {
       elections.tick(now);
       if (bootstrap.open() && isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now)) {
@@ -195,6 +203,14 @@
     successor.ifPresent(id -> context.send(id, context.term, new ReplicaMessage.TakeOver()));
   }
 
+  /** Transfers leadership if this VM gets too little processor time to lead without delays. */
+  private void handOverIfLagging(long now) {
+    if (lag.isLagging() && context.leaderState != null) {
+      lag.reset();
+      transferLeadership(now);
+    }
+  }
+
   /**
    * Drops the entries that a snapshot covers, except for the last 256.
    *
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -1,6 +1,7 @@
 package org.clementinesail.core.replication;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -136,4 +137,16 @@
     cluster.run(RECONFIGURATION_MILLIS);
     assertTrue(cluster.awaitLeader().core.commitIndex() >= committed);
   }
+
+  /** A leader that runs only every 200 ms, four heartbeat intervals, hands over within 3 s. */
+  @Test(dataProvider = "seeds")
+  public void slowLeaderHandsOver(long seed) {
+    SimulatedCluster cluster = cluster(seed);
+    String slow = cluster.awaitLeader().vm;
+    cluster.slowVms.put(slow, 200L);
+    cluster.run(3_000);
+    assertNotEquals(cluster.awaitLeader().vm, slow);
+    cluster.run(RECONFIGURATION_MILLIS);
+    assertNotEquals(cluster.awaitLeader().vm, slow, "leads again while it is slow");
+  }
 }
--- a/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
@@ -46,6 +46,10 @@
   final Map<Long, ReplicaId> leaders = new HashMap<>();
   final Set<String> cutLinks = new HashSet<>();
   final List<Output> results = new ArrayList<>();
+
+  /** VMs that run only once in this many milliseconds. */
+  final Map<String, Long> slowVms = new HashMap<>();
+
   double lossProbability;
   double duplicateProbability;
   long maxDelayNanos = 2 * STEP_NANOS;
@@ -134,7 +138,7 @@
     List<InFlightMessage> due = new ArrayList<>();
     inFlight.removeIf(
         delivery -> {
-          if (delivery.deliveryTime > now) {
+          if (delivery.deliveryTime > now || !runsNow(delivery.message.to().vm())) {
             return false;
           }
           due.add(delivery);
@@ -148,7 +152,7 @@
       }
     }
     for (Node node : nodes.values()) {
-      if (node.core != null) {
+      if (node.core != null && runsNow(node.vm)) {
         node.core.tick(now);
         node.core.flush(now);
         handleOutputs(node);
@@ -157,6 +161,11 @@
     checkLeases();
   }
 
+  private boolean runsNow(String vm) {
+    long period = TimeUnit.MILLISECONDS.toNanos(slowVms.getOrDefault(vm, 0L));
+    return period == 0 || now % period < STEP_NANOS;
+  }
+
   void propose(String vm, long operationId) {
     Node node = nodes.get(vm);
     if (node.core != null) {
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.fleet.ControlDialect;
@@ -57,6 +58,17 @@
   /** How long a caller's connection must be idle before a stopping VM closes it. */
   private static final long STOP_MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+  private static final long LAG_CHECK_INTERVAL_MS = 50;
+
+  /** Time after the start in which lag does not count: classes are still being loaded. */
+  private static final long LAG_CHECK_DELAY_MS = 5_000;
+
+  /** Time between two checks that callers do not notice; the longest pause between two events. */
+  private static final long TOLERATED_TIMER_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Late time within about two seconds above which new callers are better served elsewhere. */
+  private static final long MAX_LATE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final NodeSettings settings;
   private final ControlDialect controlDialect;
   private final DecisionLog log;
@@ -68,6 +80,8 @@
   private final ProxyServer proxy;
   private final PeerNetwork network;
   private final Subscriptions subscriptions;
+  private final LagDetector lag = new LagDetector(TOLERATED_TIMER_GAP_NANOS, MAX_LATE_NANOS);
+  private boolean lagging;
   private volatile boolean stopping;
 
   /**
@@ -117,6 +131,8 @@
           subscriptions.replaceSeeds(settings.seeds());
           subscriptions.start(loop);
         });
+    loop.scheduleWithFixedDelay(
+        this::checkLag, LAG_CHECK_DELAY_MS, LAG_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     proxy.listen(
         Objects.requireNonNull(
             settings.proxyAddress(), "an entry VM needs an address for callers"));
@@ -132,12 +148,24 @@
     loop.execute(() -> subscriptions.replaceSeeds(seeds));
   }
 
+  /**
+   * Checks whether this VM gets enough processor time. While it does not, it is not ready: the load
+   * balancer sends new callers to other VMs, unless half of them are not ready either.
+   */
+  private void checkLag() {
+    lag.tick(System.nanoTime());
+    if (lag.isLagging() != lagging) {
+      lagging = lag.isLagging();
+      log.write(lagging ? "too slow to be ready" : "fast enough to be ready");
+    }
+  }
+
   private void answerStatusRequest(FullHttpRequest request, Consumer<FullHttpResponse> reply) {
     if (request.uri().startsWith("/metrics")) {
       reply.accept(HttpEndpoint.text(HTTP_OK, "text/plain", metrics.text()));
       return;
     }
-    boolean ready = !stopping && routing.canServe();
+    boolean ready = !stopping && routing.canServe() && !lag.isLagging();
     reply.accept(HttpEndpoint.text(ready ? HTTP_OK : HTTP_UNAVAILABLE, "text/plain", ""));
   }
 
