End connections whose bytes are no response and do not end

Cause: a target may send bytes without end that belong to no response. Five cases held a request until its deadline, or memory: informational responses, responses to other requests, their bodies, the body of a refusal, and an event without end, which was kept whole. A refusal is also known from its head. Change: a connection skips 8 responses and 64 KB at most; a refusal's body is read for 250 ms and 64 KB at most and then counts as refused; an event has 1 MB at most. Only complete events are progress of a stream, so one that trickles bytes is as stalled as one that is silent.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Route;
@@ -20,6 +21,15 @@
   /** Responses up to this length are buffered, so that an incomplete one can be replaced. */
   private static final int MAX_BUFFERED_BYTES = 65_536;
 
+  /** Longest event; a target that sends more without ending the event is at fault. */
+  private static final int MAX_EVENT_BYTES = 1_048_576;
+
+  /** Longest body of a refusal that is read so that the connection can be reused. */
+  private static final int MAX_REFUSAL_BYTES = 65_536;
+
+  /** Longest time for the body of a refusal; the status alone says that nothing has run. */
+  private static final long MAX_REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   /** Initial value of the usual pause, which applies while the target reads the prompt. */
   private static final long INITIAL_USUAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -50,6 +60,8 @@
   private List<LocalLoad.Assignment> assignments = List.of();
   private Mode mode = Mode.AWAITING_HEAD;
   private boolean finished;
+  private int refusalBytes;
+  private long refusedAt;
   private long lastProgressAt = System.nanoTime();
   private long usualPauseNanos = INITIAL_USUAL_PAUSE_NANOS;
 
@@ -137,6 +149,7 @@
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (context.dialect().isRefusal(response)) {
       mode = Mode.REFUSED;
+      refusedAt = lastProgressAt;
     } else if (success && !context.dialect().hasTargetProof(response)) {
       reportLostResponse(false, "success response without the proof header of a target");
     } else if (success && isEventStream(response)) {
@@ -158,14 +171,18 @@
     if (finished) {
       return;
     }
-    long now = System.nanoTime();
-    usualPauseNanos += (now - lastProgressAt - usualPauseNanos) / PAUSE_AVERAGE_DIVISOR;
-    lastProgressAt = now;
     HttpResponse response = head;
     ByteBuf buffered = buffer;
     if (mode == Mode.EVENTS) {
-      splitter.feed(content);
-      exchange.flushParts();
+      onEventBytes(content);
+      return;
+    }
+    recordProgress();
+    if (mode == Mode.REFUSED) {
+      refusalBytes += content.readableBytes();
+      if (refusalBytes > MAX_REFUSAL_BYTES) {
+        endRefusal();
+      }
     } else if (mode == Mode.BUFFERED && buffered != null) {
       buffered.writeBytes(content);
       if (buffered.readableBytes() > MAX_BUFFERED_BYTES && response != null) {
@@ -181,6 +198,36 @@
     }
   }
 
+  /** Passes on complete events; only these are progress, not single bytes of an event. */
+  private void onEventBytes(ByteBuf content) {
+    if (splitter.feed(content) > 0) {
+      recordProgress();
+    }
+    exchange.flushParts();
+    if (!finished && splitter.incompleteEvent().readableBytes() > MAX_EVENT_BYTES) {
+      reportLostResponse(false, "event without end");
+    }
+  }
+
+  private void recordProgress() {
+    long now = System.nanoTime();
+    usualPauseNanos += (now - lastProgressAt - usualPauseNanos) / PAUSE_AVERAGE_DIVISOR;
+    lastProgressAt = now;
+  }
+
+  /** Ends a refusal whose body does not end, and with it the connection. */
+  void endOverdueRefusal(long now) {
+    if (mode == Mode.REFUSED && !finished && now - refusedAt > MAX_REFUSAL_NANOS) {
+      endRefusal();
+    }
+  }
+
+  private void endRefusal() {
+    HttpResponse response = Objects.requireNonNull(head);
+    cancel();
+    exchange.onRefused(this, response);
+  }
+
   private void onEvent(ByteBuf event, @Nullable String id) {
     HttpResponse response = head;
     if (response != null && !finished && isNewEvent(id)) {
--- a/server/src/main/java/org/clementinesail/server/proxy/EventSplitter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EventSplitter.java
@@ -21,15 +21,19 @@
     this.onEvent = onEvent;
   }
 
-  void feed(ByteBuf bytes) {
+  /** Adds bytes; returns how many events they completed. */
+  int feed(ByteBuf bytes) {
+    int events = 0;
     pending.discardSomeReadBytes();
     pending.writeBytes(bytes);
     int end = endOfEvent();
     while (end >= 0) {
       ByteBuf event = pending.readSlice(end - pending.readerIndex());
       onEvent.accept(event, eventId(event));
+      events++;
       end = endOfEvent();
     }
+    return events;
   }
 
   /** Returns the bytes after the last complete event. */
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -154,19 +154,19 @@
 
   /** Tries again to start a waiting request; switches a stalled response to another path. */
   void checkProgress(long now) {
+    Attempt current = attempt;
     if (finished) {
       return;
-    }
-    if (awaitingState) {
+    } else if (awaitingState) {
       resolve(now);
       return;
-    }
-    if (awaitingTarget) {
+    } else if (awaitingTarget) {
       tryNextTarget();
       return;
+    } else if (current != null) {
+      current.endOverdueRefusal(now);
     }
-    Attempt current = attempt;
-    if (current == null || current.path().isEmpty()) {
+    if (current == null || current != attempt || current.path().isEmpty()) {
       return;
     }
     long pause = now - current.lastProgressAt();
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -27,6 +27,12 @@
   /** Connections are not reused within this time before the idle timeout of the target. */
   private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** Most responses that are skipped before that to the request in progress. */
+  private static final int MAX_SKIPPED_RESPONSES = 8;
+
+  /** Most bytes of bodies that are skipped; a connection with more is not worth reading. */
+  private static final int MAX_SKIPPED_BYTES = 65_536;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
 
   private final TargetPool pool;
@@ -53,6 +59,8 @@
     private final ResponseListener listener;
     private boolean requestWritten;
     private boolean headReceived;
+    private int skippedResponses;
+    private int skippedBytes;
 
     ActiveCall(String requestId, ResponseListener listener) {
       this.requestId = requestId;
@@ -142,13 +150,22 @@
       skippingResponse =
           head.status().codeClass() == HttpStatusClass.INFORMATIONAL
               || (id.isPresent() && !call.requestId.isEmpty() && !id.get().equals(call.requestId));
-      if (!skippingResponse) {
+      if (skippingResponse) {
+        call.skippedResponses++;
+      } else {
         call.headReceived = true;
         keepAlive = HttpUtil.isKeepAlive(head);
         keepAliveNanos = keepAliveNanos(head);
         call.listener.onHead(head);
       }
     }
+    if (skippingResponse && message instanceof HttpContent skipped) {
+      call.skippedBytes += skipped.content().readableBytes();
+    }
+    if (call.skippedResponses > MAX_SKIPPED_RESPONSES || call.skippedBytes > MAX_SKIPPED_BYTES) {
+      fail("too many bytes that belong to no request");
+      return;
+    }
     if (message instanceof HttpContent content && activeCall == call) {
       if (!skippingResponse && call.headReceived && content.content().isReadable()) {
         call.listener.onContent(content.content());
--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 /** A target on loopback that answers each request with the bytes that a function returns. */
@@ -23,8 +24,13 @@
   /** Keeps the connection open and sends nothing. */
   static final String HANG = "<hang>";
 
+  /** Repeats the text after this marker until the other side closes the connection. */
+  static final String ENDLESS = "<endless>";
+
   final List<String> requests = new CopyOnWriteArrayList<>();
   volatile Function<String, String> script = request -> CLOSE;
+  volatile boolean endlessRunning;
+  final AtomicLong bytesRepeated = new AtomicLong();
   private final ServerSocket listening;
   private final List<Socket> open = new CopyOnWriteArrayList<>();
 
@@ -61,10 +67,15 @@
           !request.isEmpty();
           request = read(socket.getInputStream())) {
         requests.add(request);
-        String response = script.apply(request);
+        String whole = script.apply(request);
+        int endless = whole.indexOf(ENDLESS);
+        String response = endless < 0 ? whole : whole.substring(0, endless);
         String bytes = response.replace(CLOSE, "").replace(RESET, "").replace(HANG, "");
         socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
+        if (endless >= 0) {
+          repeat(socket, whole.substring(endless + ENDLESS.length()));
+        }
         if (response.endsWith(RESET)) {
           socket.setSoLinger(true, 0);
           return;
@@ -78,6 +89,19 @@
     }
   }
 
+  private void repeat(Socket socket, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    endlessRunning = true;
+    try {
+      while (true) {
+        socket.getOutputStream().write(bytes);
+        bytesRepeated.addAndGet(bytes.length);
+      }
+    } finally {
+      endlessRunning = false;
+    }
+  }
+
   /** Reads a head and a body of its Content-Length; returns "" at the end of the connection. */
   private static String read(InputStream in) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
