--- a/core/src/main/java/org/clementinesail/core/placement/PipelinePartitioner.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PipelinePartitioner.java
@@ -11,7 +11,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Divides the engines of a site into pipelines that hold the whole model each.
+ * Divides the engines of a data centre into pipelines that hold the whole model each.
  *
  * <p>Engines are sorted by speed, and each pipeline takes consecutive ones, so that fast engines do
  * not wait for slow ones; or all take engines of every speed, if the loss of the fast pipeline
--- a/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/placement/PlacementPlanner.java
@@ -34,7 +34,7 @@
    */
   private static final double MIN_USEFUL_SHARE = 0.5;
 
-  /** A site's engines change seldom, and one by one; more plans than sites need not be kept. */
+  /** Most plans kept: engines join and leave one by one, so only the newest ones are needed. */
   private static final int MAX_CACHED_PLANS = 64;
 
   private final EngineModel model;
@@ -84,20 +84,20 @@
    */
   public Map<String, LayerRange> assignLayers(List<PlacedEngine> engines) {
     Map<String, LayerRange> orders = new LinkedHashMap<>();
-    for (List<PlacedEngine> site : sites(engines)) {
-      if (site.stream().anyMatch(engine -> engine.layers() == null)) {
-        orders.putAll(assignSite(site));
+    for (List<PlacedEngine> group : groups(engines)) {
+      if (group.stream().anyMatch(engine -> engine.layers() == null)) {
+        orders.putAll(assignGroup(group));
       }
     }
     return orders;
   }
 
-  private Map<String, LayerRange> assignSite(List<PlacedEngine> site) {
-    Map<String, LayerRange> plan = plan(site);
-    boolean allNew = site.stream().allMatch(engine -> engine.layers() == null);
+  private Map<String, LayerRange> assignGroup(List<PlacedEngine> group) {
+    Map<String, LayerRange> plan = plan(group);
+    boolean allNew = group.stream().allMatch(engine -> engine.layers() == null);
     Map<String, LayerRange> orders = new LinkedHashMap<>(allNew ? plan : Map.of());
-    LayerCoverage coverage = coverage(site, orders);
-    List<PlacedEngine> unassigned = new ArrayList<>(site);
+    LayerCoverage coverage = coverage(group, orders);
+    List<PlacedEngine> unassigned = new ArrayList<>(group);
     unassigned.removeIf(
         engine ->
             engine.layers() != null
@@ -106,7 +106,7 @@
     unassigned.sort(
         Comparator.comparingDouble((PlacedEngine engine) -> -engine.accelerator().megabytes())
             .thenComparing(PlacedEngine::id));
-    int usefulConcurrency = usefulConcurrency(coverage(site, plan));
+    int usefulConcurrency = usefulConcurrency(coverage(group, plan));
     for (PlacedEngine engine : unassigned) {
       LayerRange planned = plan.get(engine.id());
       int usual = planned == null ? estimator.balancedLayers(engine.accelerator()) : planned.size();
@@ -127,15 +127,15 @@
    * @param extent how many engines may be moved
    */
   public Moves planMoves(List<PlacedEngine> engines, Extent extent) {
-    List<List<PlacedEngine>> sites = sites(engines);
-    boolean anyComplete = sites.stream().anyMatch(this::canHoldModel);
+    List<List<PlacedEngine>> groups = groups(engines);
+    boolean anyComplete = groups.stream().anyMatch(this::canHoldModel);
     boolean needed = false;
-    for (List<PlacedEngine> site : sites) {
+    for (List<PlacedEngine> group : groups) {
       // Data centres that cannot hold the model together add to none while others hold it.
-      if (anyComplete && !canHoldModel(site)) {
+      if (anyComplete && !canHoldModel(group)) {
         continue;
       }
-      Moves moves = planSiteMoves(site, extent);
+      Moves moves = planGroupMoves(group, extent);
       needed |= moves.needed();
       if (!moves.ranges().isEmpty()) {
         return moves;
@@ -144,37 +144,37 @@
     return new Moves(needed, Map.of());
   }
 
-  private Moves planSiteMoves(List<PlacedEngine> site, Extent extent) {
-    Map<String, LayerRange> plan = plan(site);
-    LayerCoverage coverage = coverage(site);
-    int useful = usefulConcurrency(coverage(site, plan));
+  private Moves planGroupMoves(List<PlacedEngine> group, Extent extent) {
+    Map<String, LayerRange> plan = plan(group);
+    LayerCoverage coverage = coverage(group);
+    int useful = usefulConcurrency(coverage(group, plan));
     Optional<LayerRange> gap = coverage.largestGap();
     if (gap.isEmpty() && coverage.minConcurrency() >= useful) {
       return new Moves(false, Map.of());
     }
     if (gap.isPresent()) {
-      Optional<Map<String, LayerRange>> spare = spareEngineInto(gap.get(), site, coverage, useful);
+      Optional<Map<String, LayerRange>> spare = spareEngineInto(gap.get(), group, coverage, useful);
       if (spare.isPresent()) {
         return new Moves(true, spare.get());
       }
-      Optional<Map<String, LayerRange>> closing = extendNeighbours(gap.get(), site);
-      if (closing.isPresent() && coverage(site, closing.get()).minConcurrency() >= useful) {
+      Optional<Map<String, LayerRange>> closing = extendNeighbours(gap.get(), group);
+      if (closing.isPresent() && coverage(group, closing.get()).minConcurrency() >= useful) {
         return new Moves(true, closing.get());
       }
-      if (extent != Extent.NEIGHBOURS && isChain(site)) {
-        return new Moves(true, spread(site));
+      if (extent != Extent.NEIGHBOURS && isChain(group)) {
+        return new Moves(true, spread(group));
       }
     }
     boolean rebuild = extent == Extent.DATA_CENTRE;
-    return new Moves(true, rebuild ? withFewestLoads(plan, site) : Map.of());
+    return new Moves(true, rebuild ? withFewestLoads(plan, group) : Map.of());
   }
 
   /** Returns whether all engines hold layers and no layer is held twice. */
-  private static boolean isChain(List<PlacedEngine> site) {
-    if (site.stream().anyMatch(engine -> engine.layers() == null)) {
+  private static boolean isChain(List<PlacedEngine> group) {
+    if (group.stream().anyMatch(engine -> engine.layers() == null)) {
       return false;
     }
-    List<PlacedEngine> chain = inLayerOrder(site);
+    List<PlacedEngine> chain = inLayerOrder(group);
     for (int i = 1; i < chain.size(); i++) {
       if (held(chain.get(i)).from() < held(chain.get(i - 1)).to()) {
         return false;
@@ -183,8 +183,8 @@
     return true;
   }
 
-  private static List<PlacedEngine> inLayerOrder(List<PlacedEngine> site) {
-    List<PlacedEngine> chain = new ArrayList<>(site);
+  private static List<PlacedEngine> inLayerOrder(List<PlacedEngine> group) {
+    List<PlacedEngine> chain = new ArrayList<>(group);
     chain.sort(
         Comparator.comparingInt((PlacedEngine e) -> held(e).from())
             .thenComparing(PlacedEngine::id));
@@ -192,8 +192,8 @@
   }
 
   /** Spreads all layers over a chain; each engine keeps its place, and so most of its layers. */
-  private Map<String, LayerRange> spread(List<PlacedEngine> site) {
-    List<PlacedEngine> chain = inLayerOrder(site);
+  private Map<String, LayerRange> spread(List<PlacedEngine> group) {
+    List<PlacedEngine> chain = inLayerOrder(group);
     if (!estimator.canHoldModel(chain)) {
       return Map.of();
     }
@@ -209,13 +209,13 @@
     return moves;
   }
 
-  /** Returns the best ranges for the engines of a site, whatever they hold now. */
-  private Map<String, LayerRange> plan(List<PlacedEngine> site) {
-    Set<String> ids = site.stream().map(PlacedEngine::id).collect(Collectors.toSet());
+  /** Returns the best ranges for the engines of a group, whatever they hold now. */
+  private Map<String, LayerRange> plan(List<PlacedEngine> group) {
+    Set<String> ids = group.stream().map(PlacedEngine::id).collect(Collectors.toSet());
     if (plans.size() >= MAX_CACHED_PLANS && !plans.containsKey(ids)) {
       plans.clear();
     }
-    return plans.computeIfAbsent(ids, key -> partitioner.assign(site));
+    return plans.computeIfAbsent(ids, key -> partitioner.assign(group));
   }
 
   /** Returns the concurrency that a placement must keep up, given the best one for the engines. */
@@ -223,14 +223,14 @@
     return (int) (best.minConcurrency() * MIN_USEFUL_SHARE);
   }
 
-  private LayerCoverage coverage(List<PlacedEngine> site) {
-    return coverage(site, Map.of());
+  private LayerCoverage coverage(List<PlacedEngine> group) {
+    return coverage(group, Map.of());
   }
 
   /** Returns the coverage once some engines have got new ranges. */
-  private LayerCoverage coverage(List<PlacedEngine> site, Map<String, LayerRange> changed) {
+  private LayerCoverage coverage(List<PlacedEngine> group, Map<String, LayerRange> changed) {
     LayerCoverage coverage = new LayerCoverage(model, estimator);
-    for (PlacedEngine engine : site) {
+    for (PlacedEngine engine : group) {
       LayerRange range = changed.getOrDefault(engine.id(), engine.layers());
       if (range != null) {
         coverage.add(engine.accelerator(), range);
@@ -244,10 +244,10 @@
    * these the smallest.
    */
   private Optional<Map<String, LayerRange>> spareEngineInto(
-      LayerRange gap, List<PlacedEngine> site, LayerCoverage coverage, int concurrency) {
+      LayerRange gap, List<PlacedEngine> group, LayerCoverage coverage, int concurrency) {
     Comparator<PlacedEngine> byLayers =
         Comparator.comparingInt(engine -> -layersOf(gap, engine, concurrency));
-    return site.stream()
+    return group.stream()
         .filter(engine -> engine.layers() != null && coverage.isSpare(engine.layers()))
         .filter(engine -> layersOf(gap, engine, concurrency) > 0)
         .min(
@@ -267,9 +267,9 @@
 
   /** Divides the gap between the engines before and after it, so that both keep most memory. */
   private Optional<Map<String, LayerRange>> extendNeighbours(
-      LayerRange gap, List<PlacedEngine> site) {
-    Optional<PlacedEngine> before = widest(site, engine -> endsAt(engine, gap.from()));
-    Optional<PlacedEngine> after = widest(site, engine -> startsAt(engine, gap.to()));
+      LayerRange gap, List<PlacedEngine> group) {
+    Optional<PlacedEngine> before = widest(group, engine -> endsAt(engine, gap.from()));
+    Optional<PlacedEngine> after = widest(group, engine -> startsAt(engine, gap.to()));
     Map<String, LayerRange> best = Map.of();
     long mostConcurrency = 0;
     for (int cut = gap.from(); cut <= gap.to(); cut++) {
@@ -281,7 +281,7 @@
       if (cut < gap.to()) {
         after.ifPresent(e -> moves.put(e.id(), new LayerRange(end, held(e).to())));
       }
-      long concurrency = coverage(site, moves).minConcurrency();
+      long concurrency = coverage(group, moves).minConcurrency();
       if (concurrency > mostConcurrency) {
         mostConcurrency = concurrency;
         best = moves;
@@ -291,8 +291,8 @@
   }
 
   private Optional<PlacedEngine> widest(
-      List<PlacedEngine> site, Predicate<PlacedEngine> condition) {
-    return site.stream()
+      List<PlacedEngine> group, Predicate<PlacedEngine> condition) {
+    return group.stream()
         .filter(engine -> engine.layers() != null && condition.test(engine))
         .max(
             Comparator.comparingInt(
@@ -317,59 +317,59 @@
    * hold, so that most keep most of their layers. Returns only the ranges that change.
    */
   private static Map<String, LayerRange> withFewestLoads(
-      Map<String, LayerRange> plan, List<PlacedEngine> site) {
-    Map<List<String>, List<PlacedEngine>> groups = new HashMap<>();
-    for (PlacedEngine engine : site) {
+      Map<String, LayerRange> plan, List<PlacedEngine> group) {
+    Map<List<String>, List<PlacedEngine>> byKind = new HashMap<>();
+    for (PlacedEngine engine : group) {
       if (plan.containsKey(engine.id())) {
-        groups
+        byKind
             .computeIfAbsent(
                 List.of(engine.dataCentre(), engine.accelerator().kind()), key -> new ArrayList<>())
             .add(engine);
       }
     }
     Map<String, LayerRange> moves = new LinkedHashMap<>();
-    for (List<PlacedEngine> group : groups.values()) {
+    for (List<PlacedEngine> sameKind : byKind.values()) {
       List<LayerRange> ranges = new ArrayList<>();
-      group.forEach(engine -> ranges.add(Objects.requireNonNull(plan.get(engine.id()))));
+      sameKind.forEach(engine -> ranges.add(Objects.requireNonNull(plan.get(engine.id()))));
       ranges.sort(Comparator.comparingInt(LayerRange::from).thenComparingInt(LayerRange::to));
-      group.sort(
+      sameKind.sort(
           Comparator.comparingInt(
                   (PlacedEngine e) -> e.layers() == null ? Integer.MAX_VALUE : held(e).from())
               .thenComparing(PlacedEngine::id));
-      for (int i = 0; i < group.size(); i++) {
-        if (!ranges.get(i).equals(group.get(i).layers())) {
-          moves.put(group.get(i).id(), ranges.get(i));
+      for (int i = 0; i < sameKind.size(); i++) {
+        if (!ranges.get(i).equals(sameKind.get(i).layers())) {
+          moves.put(sameKind.get(i).id(), ranges.get(i));
         }
       }
     }
     return moves;
   }
 
-  private boolean canHoldModel(List<PlacedEngine> site) {
-    return estimator.canHoldModel(site);
+  private boolean canHoldModel(List<PlacedEngine> group) {
+    return estimator.canHoldModel(group);
   }
 
   /**
    * Returns the engines in groups that hold the whole model each: one for each data centre with
    * enough memory, and one for all others.
    */
-  private List<List<PlacedEngine>> sites(List<PlacedEngine> engines) {
+  private List<List<PlacedEngine>> groups(List<PlacedEngine> engines) {
     Map<String, List<PlacedEngine>> byDataCentre = new TreeMap<>();
     for (PlacedEngine engine : engines) {
       byDataCentre.computeIfAbsent(engine.dataCentre(), key -> new ArrayList<>()).add(engine);
     }
-    List<List<PlacedEngine>> sites = new ArrayList<>();
+    List<List<PlacedEngine>> groups = new ArrayList<>();
     List<PlacedEngine> shared = new ArrayList<>();
     for (List<PlacedEngine> members : byDataCentre.values()) {
       if (canHoldModel(members)) {
-        sites.add(members);
+        groups.add(members);
       } else {
         shared.addAll(members);
       }
     }
     if (!shared.isEmpty()) {
-      sites.add(shared);
+      groups.add(shared);
     }
-    return sites;
+    return groups;
   }
 }
