Open a replica again after its disk has failed

Cause: one refused write stopped a replica until its process was restarted; nothing restarts a process that runs. Of three voters one was gone for good, so the next lost disk left no majority. The class: a passing failure that becomes a permanent one because nothing tries again. Change: after a failure ReplicaDriver rejects what waits, closes the files and opens them again every 500 ms until that works, as a restart would. The files are written anew then, as they may hold more than the disk after a failed sync. Descriptors of a log that could not be replaced are closed. PendingRequests and ReplicaOpener are split off. Ruled out: ending the process, which costs a start of some seconds on a small VM and counts as a crash; trying the same write again, as a failed sync says nothing of earlier writes. Evidence: ReplicaDriverTest.replicaIsBackAfterDiskFailure failed before ("the replica did not become leader in time", 20 s) and passes.

--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -1,10 +1,9 @@
 package org.clementinesail.server.control;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -32,6 +31,15 @@
  * sends messages and applies entries as the core's outputs say.
  *
  * <p>Inputs that wait are processed as one batch, so that they share one disk sync.
+ *
+ * <p>After a failure, such as a full disk, the replica is opened again from its files until that
+ * succeeds, as after a restart of the process. Meanwhile it answers nothing.
+ *
+ * <pre>{@code
+ * ReplicaDriver driver = new ReplicaDriver(() -> open(folder), network::send, listener);
+ * driver.start();
+ * driver.propose(command).thenAccept(result -> ...);
+ * }</pre>
  */
 public final class ReplicaDriver implements AutoCloseable {
   /** Longest wait for inputs before the core's timers are checked; inputs end the wait. */
@@ -39,6 +47,9 @@
 
   private static final int MAX_BATCH_TASKS = 512;
 
+  /** Pause before a failed replica is opened again; short against the time until it catches up. */
+  private static final long REOPEN_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** Entries applied since the last snapshot before the next; bounds log size and restart time. */
   private static final long ENTRIES_PER_SNAPSHOT = 1_000;
 
@@ -65,48 +76,58 @@
   }
 
   /** Input that the replica's thread processes. */
-  @FunctionalInterface
   private interface Task {
     void run(long now);
+
+    /** Called instead of {@link #run} while the replica is not open. */
+    default void reject() {}
   }
 
-  private record PendingCommand(long term, CompletableFuture<CommandResult> result) {}
+  /** Request whose result a caller waits for. */
+  private record RequestTask(CompletableFuture<?> result, Runnable action) implements Task {
+    @Override
+    public void run(long now) {
+      action.run();
+    }
 
-  private record PendingRead(Function<SystemState, ?> query, CompletableFuture<Object> result) {}
+    @Override
+    public void reject() {
+      result.completeExceptionally(new NotLeaderException(""));
+    }
+  }
 
-  private final ReplicaCore core;
-  private final ReplicaStore store;
+  private final ReplicaOpener opener;
   private final Consumer<ReplicaMessage> sender;
   private final StateListener listener;
   private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
-  private final Map<Long, CompletableFuture<CommandResult>> pendingProposals = new HashMap<>();
-  private final Map<Long, PendingCommand> pendingCommands = new HashMap<>();
-  private final Map<Long, PendingRead> pendingReads = new HashMap<>();
+  private final PendingRequests requests = new PendingRequests();
   private final Thread thread;
+  private ReplicaCore core;
+  private ReplicaStore store;
   private SystemState state = SystemState.empty();
   private long appliedIndex;
   private long bytesSinceSnapshot;
-  private long nextOperationId = 1;
   private long notifiedVersion;
   private final List<Runnable> completions = new ArrayList<>();
   private volatile ReplicaStatus status = ReplicaStatus.NONE;
+  private volatile @Nullable List<String> newSeeds;
   private volatile boolean stopping;
 
   /**
-   * Creates a driver; {@link #start} runs it.
+   * Opens a replica; {@link #start} runs it.
    *
-   * @param core replication state machine
-   * @param store files of the replica; closed with the driver
+   * @param opener opens the files and creates the replica, now and after each failure
    * @param sender sends messages to other replicas; must not block
    * @param listener receives newly accepted state
+   * @throws StorageException if the files cannot be opened now
    */
   public ReplicaDriver(
-      ReplicaCore core,
-      ReplicaStore store,
-      Consumer<ReplicaMessage> sender,
-      StateListener listener) {
-    this.core = core;
-    this.store = store;
+      ReplicaOpener opener, Consumer<ReplicaMessage> sender, StateListener listener)
+      throws StorageException {
+    this.opener = opener;
+    ReplicaOpener.OpenReplica opened = opener.open();
+    this.core = opened.core();
+    this.store = opened.store();
     this.sender = sender;
     this.listener = listener;
     this.thread = new Thread(this::run, "replica");
@@ -144,12 +165,7 @@
     }
     CompletableFuture<CommandResult> result = new CompletableFuture<>();
     byte[] bytes = StateCodec.encode(command).toByteArray();
-    submit(
-        now -> {
-          long operationId = nextOperationId++;
-          pendingProposals.put(operationId, result);
-          core.propose(operationId, bytes);
-        });
+    submit(new RequestTask(result, () -> core.propose(requests.addProposal(result), bytes)));
     return result;
   }
 
@@ -166,12 +182,7 @@
       return CompletableFuture.failedFuture(new NotLeaderException(""));
     }
     CompletableFuture<Object> result = new CompletableFuture<>();
-    submit(
-        now -> {
-          long operationId = nextOperationId++;
-          pendingReads.put(operationId, new PendingRead(query, result));
-          core.read(operationId);
-        });
+    submit(new RequestTask(result, () -> core.read(requests.addRead(query, result))));
     @SuppressWarnings("unchecked")
     CompletableFuture<T> typed = (CompletableFuture<T>) result;
     return typed;
@@ -183,6 +194,7 @@
    * @param vms names of the VMs
    */
   public void replaceSeeds(List<String> vms) {
+    newSeeds = List.copyOf(vms);
     submit(now -> core.replaceSeeds(vms));
   }
 
@@ -213,14 +225,22 @@
   private void run() {
     try {
       while (!stopping) {
-        processBatch();
+        runUntilFailure();
       }
     } catch (InterruptedException e) {
       Logger.debug("replica thread stopped");
-    } catch (StorageException e) {
-      fail(e);
-    } catch (RuntimeException e) {
-      fail(e);
+    }
+  }
+
+  private void runUntilFailure() throws InterruptedException {
+    try {
+      while (!stopping) {
+        processBatch();
+      }
+    } catch (StorageException | RuntimeException e) {
+      if (!stopping) {
+        recover(e);
+      }
     }
   }
 
@@ -282,43 +302,21 @@
   }
 
   private void handleRequestOutput(Output output) {
-    if (output instanceof Output.Appended appendedOutput) {
-      CompletableFuture<CommandResult> result =
-          pendingProposals.remove(appendedOutput.operationId());
-      if (result != null) {
-        PendingCommand superseded =
-            pendingCommands.put(
-                appendedOutput.index(), new PendingCommand(appendedOutput.term(), result));
-        if (superseded != null) {
-          superseded.result().completeExceptionally(notLeader());
-        }
-      }
-    } else if (output instanceof Output.Refused refusedOutput) {
-      rejectRequest(refusedOutput.operationId());
-    } else if (output instanceof Output.ReadConfirmed confirmedOutput) {
-      PendingRead read = pendingReads.remove(confirmedOutput.operationId());
-      if (read != null) {
-        read.result().complete(read.query().apply(state));
-      }
-    }
-  }
-
-  private void rejectRequest(long operationId) {
-    CompletableFuture<CommandResult> proposal = pendingProposals.remove(operationId);
-    if (proposal != null) {
-      proposal.completeExceptionally(notLeader());
-    }
-    PendingRead read = pendingReads.remove(operationId);
-    if (read != null) {
-      read.result().completeExceptionally(notLeader());
+    if (output instanceof Output.Appended appended) {
+      requests.onAppended(appended, this::notLeader);
+    } else if (output instanceof Output.Refused refused) {
+      requests.reject(refused.operationId(), this::notLeader);
+    } else if (output instanceof Output.ReadConfirmed confirmed) {
+      requests.completeRead(confirmed.operationId(), state);
     }
   }
 
   private void apply(LogEntry entry) {
     appliedIndex = entry.index();
-    PendingCommand pending = pendingCommands.remove(entry.index());
+    Optional<CompletableFuture<CommandResult>> proposer =
+        requests.removeCommand(entry.index(), entry.term(), this::notLeader);
     if (!(entry.payload() instanceof LogEntry.Command command)) {
-      failCommand(pending);
+      proposer.ifPresent(result -> result.completeExceptionally(notLeader()));
       return;
     }
     long rulesBefore = state.latestRules().number();
@@ -327,17 +325,7 @@
     if (state.latestRules().number() > rulesBefore) {
       listener.rulesAccepted(state.latestRules().number());
     }
-    if (pending != null && pending.term() == entry.term()) {
-      completions.add(() -> pending.result().complete(result));
-    } else {
-      failCommand(pending);
-    }
-  }
-
-  private void failCommand(@Nullable PendingCommand pending) {
-    if (pending != null) {
-      pending.result().completeExceptionally(notLeader());
-    }
+    proposer.ifPresent(future -> completions.add(() -> future.complete(result)));
   }
 
   private void compactIfDue() throws StorageException {
@@ -367,17 +355,46 @@
             core.leaseDeadline(now));
   }
 
-  private void fail(Exception cause) {
-    stopping = true;
-    Logger.error(cause, "replica stopped until the process restarts: {}", cause.getMessage());
-    status =
-        new ReplicaStatus(
-            "failed", core.term(), "", core.commitIndex(), 0, List.of(), List.of(), 0);
+  /** Rejects all requests and opens the replica again, until that succeeds. */
+  private void recover(Exception cause) throws InterruptedException {
+    Logger.error(cause, "replica failed and will be opened again: {}", cause.getMessage());
+    status = ReplicaStatus.failed(core.term(), core.commitIndex());
     notifyAccepted();
-    NotLeaderException failure = new NotLeaderException("");
-    pendingProposals.values().forEach(result -> result.completeExceptionally(failure));
-    pendingCommands.values().forEach(pending -> pending.result().completeExceptionally(failure));
-    pendingReads.values().forEach(read -> read.result().completeExceptionally(failure));
+    requests.rejectAll();
     store.close();
+    do {
+      rejectTasks(System.nanoTime() + REOPEN_DELAY_NANOS);
+    } while (!reopen());
+    Logger.info("replica is open again, last entry {}", core.lastIndex());
+  }
+
+  private void rejectTasks(long deadline) throws InterruptedException {
+    long left = deadline - System.nanoTime();
+    while (left > 0) {
+      Task task = tasks.poll(left, TimeUnit.NANOSECONDS);
+      if (task != null) {
+        task.reject();
+      }
+      left = deadline - System.nanoTime();
+    }
+  }
+
+  private boolean reopen() {
+    try {
+      ReplicaOpener.OpenReplica opened = opener.reopen();
+      core = opened.core();
+      store = opened.store();
+    } catch (StorageException | RuntimeException e) {
+      Logger.warn(e, "replica cannot be opened yet: {}", e.getMessage());
+      return false;
+    }
+    List<String> seeds = newSeeds;
+    if (seeds != null) {
+      core.replaceSeeds(seeds);
+    }
+    state = SystemState.empty();
+    appliedIndex = 0;
+    bytesSinceSnapshot = 0;
+    return true;
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaOpener.java
@@ -0,0 +1,56 @@
+package org.clementinesail.server.control;
+
+import org.clementinesail.core.replication.ReplicaCore;
+import org.clementinesail.core.replication.Role;
+import org.clementinesail.server.storage.ReplicaStore;
+import org.clementinesail.server.storage.StorageException;
+
+/**
+ * Opens the files of a replica, at the start of a process and after each failure of the disk.
+ *
+ * <pre>{@code
+ * ReplicaOpener opener = () -> {
+ *   ReplicaStore store = ReplicaStore.open(folder);
+ *   return new OpenReplica(newCore(store.diskId(), store.loadedState()), store);
+ * };
+ * }</pre>
+ */
+@FunctionalInterface
+public interface ReplicaOpener {
+  /**
+   * A replica and its files.
+   *
+   * @param core replication state machine with the state that the files held
+   * @param store files of the replica, which the receiver closes
+   */
+  record OpenReplica(ReplicaCore core, ReplicaStore store) {}
+
+  /**
+   * Opens the files and creates a replica from them.
+   *
+   * @return the replica
+   * @throws StorageException if the files cannot be read or written
+   */
+  OpenReplica open() throws StorageException;
+
+  /**
+   * Opens the files after a failure and writes them again, because after a failed sync they may
+   * hold more than the disk does.
+   *
+   * @return the replica
+   * @throws StorageException if the files cannot be read or written
+   */
+  default OpenReplica reopen() throws StorageException {
+    OpenReplica opened = open();
+    ReplicaCore core = opened.core();
+    try {
+      if (core.role() != Role.BLANK) {
+        opened.store().compact(core.snapshot(), core.entriesAfterSnapshot());
+      }
+      return opened;
+    } catch (StorageException e) {
+      opened.store().close();
+      throw e;
+    }
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaStatus.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaStatus.java
@@ -6,7 +6,7 @@
  * Status of a replica as the replica itself sees it.
  *
  * @param role role in the current term in lower case, {@code none} on a VM without a replica, or
- *     {@code failed} after an error that stopped the replica
+ *     {@code failed} from an error until the replica is open again
  * @param term current term, which operators see as the epoch
  * @param leaderVm name of the leader's VM, or an empty string if unknown
  * @param commitIndex index of the last entry that a majority accepted
@@ -29,6 +29,11 @@
   public static final ReplicaStatus NONE =
       new ReplicaStatus("none", 0, "", 0, 0, List.of(), List.of(), 0);
 
+  /** Returns the status of a replica that has failed and is not open again yet. */
+  static ReplicaStatus failed(long term, long commitIndex) {
+    return new ReplicaStatus("failed", term, "", commitIndex, 0, List.of(), List.of(), 0);
+  }
+
   /** Returns whether this replica leads or knows the leader; false without a replica. */
   public boolean knowsLeader() {
     return !leaderVm.isEmpty();
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -21,6 +21,7 @@
 import org.clementinesail.core.replication.Timing;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ReplicaDriver;
+import org.clementinesail.server.control.ReplicaOpener;
 import org.clementinesail.server.control.ReplicaStatus;
 import org.clementinesail.server.fleet.ControlApi;
 import org.clementinesail.server.fleet.ControlDialect;
@@ -128,7 +129,8 @@
 
   @Override
   public void start() throws StorageException {
-    ReplicaDriver driver = openReplica();
+    ReplicaDriver driver =
+        new ReplicaDriver(this::openReplica, this::send, new AcceptedStateListener());
     replica = driver;
     network.start();
     loop.execute(
@@ -152,7 +154,7 @@
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
 
-  private ReplicaDriver openReplica() throws StorageException {
+  private ReplicaOpener.OpenReplica openReplica() throws StorageException {
     Path folder = Objects.requireNonNull(settings.dataFolder(), "a control VM needs a data folder");
     ReplicaStore store;
     try {
@@ -175,7 +177,7 @@
             TIMING,
             new SecureRandom(),
             System.nanoTime());
-    return new ReplicaDriver(core, store, this::send, new AcceptedStateListener());
+    return new ReplicaOpener.OpenReplica(core, store);
   }
 
   /** Handles state accepted by the replicas; called on the replica's thread. */
--- a/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
+++ b/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
@@ -66,20 +66,29 @@
 
   static ReplicaStore open(Path folder, DiskOps disk) throws StorageException {
     DataFolder data = DataFolder.open(folder, disk);
+    @Nullable ReplicaStore store = null;
     try {
       boolean snapshotExists = Files.exists(data.path(SNAPSHOT_FILE));
-      ReplicaStore store = new ReplicaStore(data, data.readOrCreateIdentity(snapshotExists));
+      store = new ReplicaStore(data, data.readOrCreateIdentity(snapshotExists));
       store.load();
       return store;
     } catch (IOException e) {
-      data.close();
+      closeFailed(store, data);
       throw new StorageException(folder, "cannot be read or written: " + e.getMessage(), e);
     } catch (StorageException e) {
-      data.close();
+      closeFailed(store, data);
       throw e;
     }
   }
 
+  private static void closeFailed(@Nullable ReplicaStore store, DataFolder data) {
+    if (store == null) {
+      data.close();
+    } else {
+      store.close();
+    }
+  }
+
   /**
    * Deletes all state in a data folder. When opened again, the folder belongs to a new, blank
    * replica with another disk id.
@@ -254,6 +263,9 @@
     FileChannel nextLog = folder.create(logPath(nextGeneration));
     FileChannel oldLog = log;
     log = nextLog;
+    if (oldLog != null) {
+      DataFolder.closeQuietly(oldLog);
+    }
     List<LogRecord> records = new ArrayList<>();
     records.add(voteRecord());
     tail.forEach(entry -> records.add(entryRecord(entry)));
@@ -266,9 +278,6 @@
             .build();
     folder.replaceFile(SNAPSHOT_FILE, file.toByteArray());
     generation = nextGeneration;
-    if (oldLog != null) {
-      oldLog.close();
-    }
     deleteStaleLogs(generation);
   }
 
--- a/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
@@ -17,6 +17,7 @@
 import org.clementinesail.server.control.ControlService;
 import org.clementinesail.server.control.PeerRequests;
 import org.clementinesail.server.control.ReplicaDriver;
+import org.clementinesail.server.control.ReplicaOpener;
 import org.clementinesail.server.control.ReplicaStatus;
 import org.clementinesail.server.control.RulesSynchronizer;
 import org.clementinesail.server.http.HttpServers;
@@ -97,7 +98,10 @@
    * @throws StorageException if the data folder cannot be opened or read
    */
   public void start() throws StorageException {
-    replica = openReplica();
+    if (settings.dataFolder() != null) {
+      replica =
+          new ReplicaDriver(this::openReplica, frameRouter::send, frameRouter::onRulesAccepted);
+    }
     ControlService control = new ControlService(replica, this::status);
     frameRouter.start(
         new FrameReceivers(replica, control, requests, rules, targets, gossip, crashes));
@@ -154,10 +158,7 @@
     }
   }
 
-  private @Nullable ReplicaDriver openReplica() throws StorageException {
-    if (settings.dataFolder() == null) {
-      return null;
-    }
+  private ReplicaOpener.OpenReplica openReplica() throws StorageException {
     ReplicaStore store = openStore(settings);
     ReplicaCore core =
         new ReplicaCore(
@@ -167,7 +168,7 @@
             REPLICA_TIMING,
             new SecureRandom(),
             System.nanoTime());
-    return new ReplicaDriver(core, store, frameRouter::send, frameRouter::onRulesAccepted);
+    return new ReplicaOpener.OpenReplica(core, store);
   }
 
   private static ReplicaStore openStore(Settings settings) throws StorageException {
--- a/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
+++ b/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import com.google.common.io.MoreFiles;
 import com.google.common.io.RecursiveDeleteOption;
@@ -11,6 +12,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -19,6 +22,7 @@
 import org.clementinesail.core.replication.ReplicaId;
 import org.clementinesail.core.replication.Timing;
 import org.clementinesail.core.state.Command;
+import org.clementinesail.core.state.CommandResult;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.storage.ReplicaStore;
 import org.clementinesail.server.storage.StorageException;
@@ -42,11 +46,14 @@
   private final BlockingQueue<Notification> notifications = new LinkedBlockingQueue<>();
   private Path folder;
   private ReplicaDriver driver;
+  private ReplicaStore openStore;
+  private int failedOpens;
 
   /** Starts the only replica of a cluster in a new folder. */
   @BeforeMethod
   public void start() throws IOException, StorageException {
     notifications.clear();
+    failedOpens = 0;
     folder = Files.createTempDirectory("replica");
     startDriver();
   }
@@ -59,15 +66,6 @@
   }
 
   private void startDriver() throws StorageException {
-    ReplicaStore store = ReplicaStore.open(folder);
-    ReplicaCore core =
-        new ReplicaCore(
-            new ReplicaId("a", store.diskId()),
-            Membership.fixed(List.of("a")),
-            store.loadedState(),
-            TIMING,
-            new Random(1),
-            System.nanoTime());
     ReplicaDriver.StateListener listener =
         new ReplicaDriver.StateListener() {
           @Override
@@ -82,10 +80,28 @@
             notifications.add(new Notification(document.version(), leading));
           }
         };
-    driver = new ReplicaDriver(core, store, message -> {}, listener);
+    driver = new ReplicaDriver(this::openReplica, message -> {}, listener);
     driver.start();
   }
 
+  private ReplicaOpener.OpenReplica openReplica() throws StorageException {
+    if (failedOpens > 0) {
+      failedOpens--;
+      throw new StorageException(folder, "No space left on device", null);
+    }
+    ReplicaStore store = ReplicaStore.open(folder);
+    openStore = store;
+    ReplicaCore core =
+        new ReplicaCore(
+            new ReplicaId("a", store.diskId()),
+            Membership.fixed(List.of("a")),
+            store.loadedState(),
+            TIMING,
+            new Random(1),
+            System.nanoTime());
+    return new ReplicaOpener.OpenReplica(core, store);
+  }
+
   /** Proposes a version once this replica leads. */
   private void proposeVersion(long version) throws Exception {
     Command command = new Command.PutDesired(new DesiredDocument(version, new byte[] {1}));
@@ -125,4 +141,19 @@
       assertTrue(first != null && first.version() == version, "notified of " + first);
     }
   }
+
+  /** A replica whose disk refuses writes for a time works again without a restart. */
+  @Test
+  public void replicaIsBackAfterDiskFailure() throws Exception {
+    proposeVersion(1);
+    failedOpens = 2;
+    openStore.close();
+    Command lost = new Command.PutDesired(new DesiredDocument(2, new byte[] {1}));
+    CompletableFuture<CommandResult> result = driver.propose(lost);
+    expectThrows(ExecutionException.class, () -> result.get(TIMEOUT_S, TimeUnit.SECONDS));
+    CompletableFuture<CommandResult> refused = driver.propose(lost);
+    expectThrows(ExecutionException.class, () -> refused.get(TIMEOUT_S, TimeUnit.SECONDS));
+    proposeVersion(3);
+    assertEquals(driver.read(state -> state.desiredDocument().version()).get(), Long.valueOf(3));
+  }
 }
