Sync what a killed process wrote before it is loaded

Cause: a process that is killed between a write and its sync leaves entries that its successor read and counted as stored: as a follower it confirmed them to the leader without any further write. When all power was lost then, an acknowledged version could be gone, or an older one be read back. Change: opening a store syncs the log and the folder before anything of them is used. Ruled out: syncing with the next append only, as a follower may confirm entries without one. Costs two syncs a start.

--- a/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
+++ b/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
@@ -153,9 +153,10 @@
     closeQuietly(lockChannel);
   }
 
-  private void syncFolder() throws IOException {
+  /** Syncs the names of the files: those that were created, renamed or deleted. */
+  void syncFolder() throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
+      sync(channel);
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
+++ b/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
@@ -26,7 +26,7 @@
  *
  * <p>The snapshot file holds the number (generation) of the log file that continues it, so that
  * renaming the snapshot file replaces both atomically. State is saved only once {@link #save}
- * returns.
+ * returns. What a killed process wrote without a sync is synced before it is loaded.
  *
  * <pre>{@code
  * ReplicaStore store = ReplicaStore.open(folder);
@@ -188,6 +188,7 @@
     clusterId = file.getCluster();
     Snapshot snapshot = ReplicaCodec.decode(file.getSnapshot());
     List<LogEntry> entries = readLog(snapshot);
+    folder.syncFolder();
     loadedState = new StoredState(clusterId, term, votedFor, snapshot, entries);
     deleteStaleLogs(generation);
   }
@@ -216,8 +217,8 @@
     log = channel;
     if (scan.validBytes() < channel.size()) {
       channel.truncate(scan.validBytes());
-      folder.sync(channel);
     }
+    folder.sync(channel);
     channel.position(scan.validBytes());
     List<LogEntry> entries = new ArrayList<>();
     for (byte[] payload : scan.payloads()) {
--- a/server/src/test/java/org/clementinesail/server/storage/ReplicaStoreTest.java
+++ b/server/src/test/java/org/clementinesail/server/storage/ReplicaStoreTest.java
@@ -14,7 +14,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.clementinesail.core.replication.LogEntry;
 import org.clementinesail.core.replication.Output;
@@ -293,4 +295,44 @@
       return savedIndex;
     }
   }
+
+  /** Power losses after a process was killed before it could sync what it had written. */
+  public static final class UnsyncedWriteTest extends TemporaryFolder {
+    /** Disk whose writes reach the file, and whose syncs fail or are counted. */
+    private static final class CountingDisk implements DiskOps {
+      private final Set<Long> syncedSizes = new HashSet<>();
+      private boolean killedBeforeSync;
+
+      @Override
+      public void write(FileChannel channel, ByteBuffer bytes) throws IOException {
+        DiskOps.REAL.write(channel, bytes);
+      }
+
+      @Override
+      public void sync(FileChannel channel) throws IOException {
+        if (killedBeforeSync) {
+          throw new IOException("the process is killed");
+        }
+        syncedSizes.add(channel.size());
+      }
+    }
+
+    /** Entries that a killed process has not synced are synced before its successor trusts them. */
+    @Test
+    public void loadedEntriesSurvivePowerLoss() throws Exception {
+      saveBatches(List.of(entries(entry(1, 1))));
+      CountingDisk killed = new CountingDisk();
+      try (ReplicaStore store = ReplicaStore.open(folder, killed)) {
+        killed.killedBeforeSync = true;
+        expectThrows(
+            StorageException.class, () -> store.save(List.of(entries(entry(2, 1), entry(3, 1)))));
+      }
+      CountingDisk disk = new CountingDisk();
+      try (ReplicaStore store = ReplicaStore.open(folder, disk)) {
+        assertEquals(indexes(store), List.of(1L, 2L, 3L));
+        assertTrue(disk.syncedSizes.contains(Files.size(findLog(folder))), "log was not synced");
+        assertTrue(disk.syncedSizes.size() > 1, "names of the files were not synced");
+      }
+    }
+  }
 }
