Let a slow sole voter go on leading

Cause: a leader that runs late hands its leadership over, also where nobody else votes: it became a follower and was elected again after an election timeout; commands in between were refused. Change: a sole voter does not hand over.

--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -205,7 +205,8 @@
 
   /** Transfers leadership if this VM gets too little processor time to lead without delays. */
   private void handOverIfLagging(long now) {
-    if (lag.isLagging() && context.leaderState != null) {
+    boolean soleVoter = context.config.voters().size() == 1;
+    if (lag.isLagging() && context.leaderState != null && !soleVoter) {
       lag.reset();
       transferLeadership(now);
     }
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -149,4 +149,16 @@
     cluster.run(RECONFIGURATION_MILLIS);
     assertNotEquals(cluster.awaitLeader().vm, slow, "leads again while it is slow");
   }
+
+  /** A slow leader without another voter goes on: there is nobody to lead instead. */
+  @Test(dataProvider = "seeds")
+  public void slowSoleVoterKeepsLeading(long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, "a");
+    cluster.run(RECONFIGURATION_MILLIS);
+    cluster.slowVms.put("a", 200L);
+    for (int i = 0; i < 100; i++) {
+      cluster.run(30);
+      assertEquals(Objects.requireNonNull(cluster.nodes.get("a").core).role(), Role.LEADER);
+    }
+  }
 }
