Keep periodic tasks of the event loops running after an error

Cause: an event loop cancels a periodic task that throws, without a line in the log. Change: these tasks run as ErrorLoggingTask, as those of the older path did. Measured: FleetPublisherTest.newsAreSentAfterAnError failed before ("no second round", 20 s) and passes.

--- a/server/src/main/java/org/clementinesail/server/control/ErrorLoggingTask.java
+++ b/server/src/main/java/org/clementinesail/server/control/ErrorLoggingTask.java
@@ -4,7 +4,8 @@
 
 /**
  * Periodic task that logs exceptions and does not rethrow them, because a {@link
- * java.util.concurrent.ScheduledExecutorService} cancels a task that throws.
+ * java.util.concurrent.ScheduledExecutorService}, such as an event loop, cancels a task that
+ * throws.
  *
  * @param name what the task does, for the log
  * @param task the task to run
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -15,6 +15,7 @@
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.state.DesiredDocument;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.wire.FleetCodec;
 import org.clementinesail.wire.PeerNetwork;
@@ -96,7 +97,10 @@
   /** Starts to send updates. */
   public void start() {
     loop.scheduleWithFixedDelay(
-        this::sendUpdate, SEND_INTERVAL_MS, SEND_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new ErrorLoggingTask("sending news of targets", this::sendUpdate),
+        SEND_INTERVAL_MS,
+        SEND_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   /** Returns the state of all targets that this VM knows. */
--- a/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
@@ -19,6 +19,7 @@
 import org.clementinesail.core.fleet.ReportPollScheduler;
 import org.clementinesail.core.placement.PlacementController;
 import org.clementinesail.core.placement.PlacementController.Order;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.EngineDialect;
 import org.clementinesail.server.proxy.EngineProbe;
@@ -99,7 +100,10 @@
   /** Starts the loop. */
   public void start() {
     loop.scheduleWithFixedDelay(
-        this::runOnce, DECISION_INTERVAL_MS, DECISION_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new ErrorLoggingTask("placing layers", this::runOnce),
+        DECISION_INTERVAL_MS,
+        DECISION_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void runOnce() {
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -20,6 +20,7 @@
 import org.clementinesail.core.replication.ReplicaMessage;
 import org.clementinesail.core.replication.Timing;
 import org.clementinesail.core.state.DesiredDocument;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.control.ReplicaDriver;
 import org.clementinesail.server.control.ReplicaOpener;
 import org.clementinesail.server.control.ReplicaStatus;
@@ -150,7 +151,11 @@
             settings.apiAddress(), "a control VM needs an address for targets and operators"),
         MAX_BODY_BYTES,
         api);
-    loop.scheduleWithFixedDelay(this::updateRole, 200, 200, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        new ErrorLoggingTask("updating the role", this::updateRole),
+        200,
+        200,
+        TimeUnit.MILLISECONDS);
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
 
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -16,6 +16,7 @@
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.state.DesiredDocument;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
 import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.HttpEndpoint;
@@ -132,7 +133,10 @@
           subscriptions.start(loop);
         });
     loop.scheduleWithFixedDelay(
-        this::checkLag, LAG_CHECK_DELAY_MS, LAG_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new ErrorLoggingTask("checking the lag", this::checkLag),
+        LAG_CHECK_DELAY_MS,
+        LAG_CHECK_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
     proxy.listen(
         Objects.requireNonNull(
             settings.proxyAddress(), "an entry VM needs an address for callers"));
--- a/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.proto.Frame;
 import org.clementinesail.wire.proto.Subscribe;
@@ -29,7 +30,10 @@
 
   void start(EventLoop loop) {
     loop.scheduleWithFixedDelay(
-        this::renew, RENEW_INTERVAL_MS, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new ErrorLoggingTask("renewing subscriptions", this::renew),
+        RENEW_INTERVAL_MS,
+        RENEW_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   void replaceSeeds(List<String> next) {
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
 import org.clementinesail.core.limits.StartupWait;
+import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.logging.DecisionLog;
 import org.jspecify.annotations.Nullable;
 
@@ -117,12 +118,15 @@
             .syncUninterruptibly()
             .channel();
     loop.scheduleWithFixedDelay(
-        this::checkProgress,
+        new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
         PROGRESS_CHECK_INTERVAL_MS,
         PROGRESS_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
-        this::closeExpired, IDLE_CHECK_INTERVAL_MS, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        new ErrorLoggingTask("closing idle connections", this::closeExpired),
+        IDLE_CHECK_INTERVAL_MS,
+        IDLE_CHECK_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   /** Sets {@code Connection: close} on all further responses and closes their connections. */
--- a/server/src/test/java/org/clementinesail/server/fleet/FleetPublisherTest.java
+++ b/server/src/test/java/org/clementinesail/server/fleet/FleetPublisherTest.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.fleet;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -11,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.logging.DecisionLog;
@@ -59,4 +61,31 @@
     assertEquals(order, List.of("first acknowledged", "second accepted", "second acknowledged"));
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
+
+  /** News are still sent after an error in one round. */
+  @Test
+  public void newsAreSentAfterAnError() throws Exception {
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoop loop = (EventLoop) group.next();
+    PeerNetwork network =
+        PeerNetwork.byAddress("c", null, new SharedSecret("secret"), (vm, frame) -> {}, group);
+    CountDownLatch rounds = new CountDownLatch(2);
+    FleetPublisher publisher =
+        new FleetPublisher(
+            loop,
+            network,
+            new Fleet(TimeUnit.SECONDS.toNanos(5)),
+            () -> {
+              rounds.countDown();
+              throw new IllegalStateException("an error in one round");
+            },
+            () -> true,
+            () -> true,
+            new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream())));
+    loop.execute(() -> publisher.onReport(EngineReport.unreachable("e", System.nanoTime()), 0));
+    publisher.start();
+    assertTrue(rounds.await(20, TimeUnit.SECONDS), "no second round");
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
 }
