Test streams without length and chunks

Looked for, cannot happen here: events are passed on whole, and a stream that ends inside one, or with a reset, does not end as complete. Measured: five cases of ProxyServerTest pass on the code as it was; nothing was changed.

--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyServerTest.java
@@ -250,4 +250,33 @@
     assertTrue(response.contains("data: e1"), response);
     assertFalse(second.requests.get(0).contains("After"), second.requests.get(0));
   }
+
+  /** A stream without length and chunks that ends after an event is complete. */
+  @Test
+  public void unframedStreamThatEndsAfterAnEventIsComplete() throws Exception {
+    startTargets(EVENT_STREAM_HEAD + "\r\n" + event(1) + event(2) + ScriptedTarget.CLOSE);
+    String response = call("POST", "/stream/x", "", "p");
+    assertTrue(response.contains("data: e2"), response);
+    assertTrue(response.endsWith("0\r\n\r\n"), response);
+    assertEquals(second.requests.size(), 0);
+  }
+
+  /** How a stream without length and chunks is broken off. */
+  @DataProvider
+  public Object[][] unframedBreaks() {
+    return new Object[][] {
+      {"within an event", "id: 2\nda" + ScriptedTarget.CLOSE},
+      {"after a line of an event", "id: 2\ndata: e2\n" + ScriptedTarget.CLOSE},
+      {"reset within an event", "id: 2\nda" + ScriptedTarget.RESET},
+      {"reset after an event", event(2) + ScriptedTarget.RESET}
+    };
+  }
+
+  /** A stream without length and chunks that is broken off is not complete for the caller. */
+  @Test(dataProvider = "unframedBreaks")
+  public void brokenUnframedStreamIsIncomplete(String name, String end) throws Exception {
+    startTargets(EVENT_STREAM_HEAD + "\r\n" + event(1) + end);
+    String response = call("POST", "/fragile/x", "", "p");
+    assertFalse(response.endsWith("0\r\n\r\n"), name + ": " + response);
+  }
 }
