Refuse parts of prompts that crash engines

Cause: on the platform's path no crash was recorded against a request; the protection stood on the older path only, and its digest of the whole request finds nothing where no two are alike. Our own retry and the caller's crashed the next engines. Change: an entry VM that loses a request before its answer began asks the engine for a report before it retries; without one the crash is recorded for each shared part of the prompt and for the request as a whole. Control VMs pass the records on and keep them, each VM decides alone: three separate crashes without an answer in between, and no other part that explains them better, and the part is refused with 503 and the time at which it is tried again. Evidence: with the refusal switched off DeadlyPartTest sends 7 and 6 where 3 are allowed; PartCrashesTest plays 60 loads, in 4 of which a sound part was refused until crashes explained better by another part no longer counted. The crash rules for plain services are not covered: their servers give no report.

--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -198,6 +198,14 @@
     }
   }
 
+  /** Returns the names of the subscribed VMs that carry traffic. */
+  public List<String> trafficVms() {
+    return subscribers.entrySet().stream()
+        .filter(entry -> entry.getValue().carriesTraffic)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /**
    * Stores a newly accepted version of the desired state. If this VM leads, sends it to the VMs
    * that carry traffic, at once or after the shortest interval between versions.
@@ -297,9 +305,8 @@
   }
 
   private FleetUpdate.Builder newUpdate() {
-    long trafficVms = subscribers.values().stream().filter(s -> s.carriesTraffic).count();
     return FleetUpdate.newBuilder()
-        .setTrafficVms((int) trafficVms)
+        .setTrafficVms(trafficVms().size())
         .addAllControlVms(new HashSet<>(controlVms.get()));
   }
 
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -26,6 +26,7 @@
 import org.clementinesail.server.control.ReplicaStatus;
 import org.clementinesail.server.fleet.ControlApi;
 import org.clementinesail.server.fleet.ControlDialect;
+import org.clementinesail.server.fleet.CrashRelay;
 import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetPublisher;
 import org.clementinesail.server.fleet.HttpEndpoint;
@@ -83,6 +84,7 @@
   private final PeerNetwork network;
   private final Subscriptions subscriptions;
   private final FleetPublisher publisher;
+  private final CrashRelay crashRelay;
   private @Nullable ReplicaDriver replica;
   private @Nullable DesiredState latestDesiredState;
   private String loggedRole = "";
@@ -126,6 +128,7 @@
             this::isLeader,
             () -> status().knowsLeader(),
             log);
+    this.crashRelay = new CrashRelay(loop, network, publisher::trafficVms);
   }
 
   @Override
@@ -304,6 +307,11 @@
         driver.receive(ReplicaCodec.decode(frame.getReplica()));
       } else if (frame.hasSubscribe()) {
         publisher.onSubscribe(vm, frame.getSubscribe());
+        if (frame.getSubscribe().getEverything() && frame.getSubscribe().getCarriesTraffic()) {
+          crashRelay.sendAll(vm);
+        }
+      } else if (frame.hasPartCrashes()) {
+        crashRelay.receive(frame.getPartCrashes());
       } else if (frame.hasFleet()) {
         publisher.onFleetUpdate(frame.getFleet());
         subscriptions.updateControlVms(frame.getFleet().getControlVmsList());
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.LagDetector;
@@ -26,6 +27,7 @@
 import org.clementinesail.server.proxy.ProxyMetrics;
 import org.clementinesail.server.proxy.ProxyServer;
 import org.clementinesail.server.proxy.RoutingState;
+import org.clementinesail.wire.CrashCodec;
 import org.clementinesail.wire.FleetCodec;
 import org.clementinesail.wire.PeerListener;
 import org.clementinesail.wire.PeerNetwork;
@@ -119,6 +121,13 @@
             new SharedSecret(settings.peerSecret()),
             new FrameListener(),
             group);
+    proxy
+        .crashReports()
+        .sender(
+            records -> {
+              Frame frame = CrashCodec.encode(records, System.nanoTime());
+              network.peers().forEach(vm -> network.send(vm, frame));
+            });
     this.subscriptions =
         new Subscriptions(
             network, true, () -> routing.desiredState().map(DesiredState::version).orElse(0L));
@@ -215,6 +224,8 @@
         applyFleetUpdate(frame.getFleet());
       } else if (frame.hasDesired()) {
         applyDesired(vm, StateCodec.decode(frame.getDesired()));
+      } else if (frame.hasPartCrashes()) {
+        proxy.crashReports().receive(CrashCodec.decode(frame.getPartCrashes(), System.nanoTime()));
       }
     }
 
@@ -222,6 +233,7 @@
     public void connected(String vm) {
       log.write("control VM connected", "peer", vm);
       subscriptions.requestFullUpdate(vm);
+      sendCrashRecords(vm);
     }
 
     @Override
@@ -230,6 +242,14 @@
     }
   }
 
+  /** Sends all records of crashes, as the control VM may have restarted and know none. */
+  private void sendCrashRecords(String vm) {
+    List<CrashRecord> records = proxy.crashReports().records();
+    if (!records.isEmpty()) {
+      network.send(vm, CrashCodec.encode(records, System.nanoTime()));
+    }
+  }
+
   private void applyFleetUpdate(FleetUpdate update) {
     long now = System.nanoTime();
     if (update.getStatementsCount() > 0) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -62,7 +62,8 @@
   private boolean finished;
   private int refusalBytes;
   private long refusedAt;
-  private long lastProgressAt = System.nanoTime();
+  private final long sentAt = System.nanoTime();
+  private long lastProgressAt = sentAt;
   private long usualPauseNanos = INITIAL_USUAL_PAUSE_NANOS;
 
   Attempt(
@@ -88,6 +89,11 @@
     return path;
   }
 
+  /** Returns the {@link System#nanoTime} at which the request was sent. */
+  long sentAt() {
+    return sentAt;
+  }
+
   /** Returns the {@link System#nanoTime} of the last data from the target, or of the creation. */
   long lastProgressAt() {
     return lastProgressAt;
--- a/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -75,9 +77,28 @@
    * @param onResult receives the result on the event loop
    */
   public void requestReport(String id, String address, Consumer<Result> onResult) {
-    if (pending.containsKey(id)) {
-      return;
+    if (!pending.containsKey(id)) {
+      send(id, address, onResult);
     }
+  }
+
+  /**
+   * Requests a report from an engine, or waits for the one that has been requested before.
+   *
+   * @param id id of the target
+   * @param address IP address and port of the engine
+   * @param onResult receives the result on the event loop
+   */
+  void awaitReport(String id, String address, Consumer<Result> onResult) {
+    PendingReport known = pending.get(id);
+    if (known == null) {
+      send(id, address, onResult);
+    } else {
+      known.listeners.add(onResult);
+    }
+  }
+
+  private void send(String id, String address, Consumer<Result> onResult) {
     PendingReport started = new PendingReport(id, onResult);
     pending.put(id, started);
     started.call = pool.send(address, "", dialect.reportRequest(address), MAX_IDLE_NANOS, started);
@@ -86,7 +107,7 @@
 
   private final class PendingReport implements ResponseListener {
     private final String id;
-    private final Consumer<Result> onResult;
+    private final List<Consumer<Result>> listeners = new ArrayList<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetCall call = new UnsentCall();
     private @Nullable ScheduledFuture<?> timeout;
@@ -96,7 +117,7 @@
 
     PendingReport(String id, Consumer<Result> onResult) {
       this.id = id;
-      this.onResult = onResult;
+      this.listeners.add(onResult);
     }
 
     @Override
@@ -158,7 +179,7 @@
       if (timeout != null) {
         timeout.cancel(false);
       }
-      onResult.accept(result);
+      listeners.forEach(listener -> listener.accept(result));
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.EngineModel;
@@ -43,6 +44,7 @@
   private final long receivedAt;
   private final RequestMetadata metadata;
   private final ExchangeLog log;
+  private final PartGuard partGuard;
   private final PauseLogger pauseLogger;
   private final AttemptCounts counts = new AttemptCounts();
   private final Set<String> excludedTargets = new HashSet<>();
@@ -72,6 +74,7 @@
     this.receivedAt = receivedAt;
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
+    this.partGuard = new PartGuard(context.crashes(), head, body, metadata);
     this.pauseLogger = new PauseLogger(context, metadata.id());
     this.lastEventId = metadata.lastEventId();
   }
@@ -100,6 +103,7 @@
     route = resolved.route();
     service = resolved.service();
     workspace = resolved.workspace();
+    partGuard.resolved(resolved.service(), resolved.workspace());
     context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
@@ -116,6 +120,11 @@
       return;
     }
     long now = System.nanoTime();
+    OptionalDouble refusedSeconds = partGuard.refusedSeconds(now);
+    if (refusedSeconds.isPresent()) {
+      giveUp("a part of the request crashes engines", refusedSeconds.getAsDouble());
+      return;
+    }
     var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
     if (choice.isPresent()) {
       awaitingTarget = false;
@@ -124,7 +133,7 @@
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
-      giveUp("no target is available");
+      giveUp("no target is available", RETRY_AFTER_SECONDS);
     }
   }
 
@@ -132,22 +141,18 @@
     Fleet.Member first = choice.firstTarget();
     String name = first.statement().service();
     if (counts.sentCount() > 0 && !context.routing().retryBudget(name).tryAcquireRetry()) {
-      giveUp("the retry budget is used up");
+      giveUp("the retry budget is used up", RETRY_AFTER_SECONDS);
       return;
     }
     counts.recordSent();
-    long millisLeft = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
-    ForwardingInfo forwardingInfo =
-        new ForwardingInfo(
-            workspace, Math.max(1, millisLeft), first.statement().id(), choice.path(), lastEventId);
+    partGuard.onSent();
+    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
+    var forwardingInfo =
+        new ForwardingInfo(workspace, millis, first.statement().id(), choice.path(), lastEventId);
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwardingInfo);
-    Route matched = route;
-    boolean repeatable = matched != null && matched.repeatable();
-    RoutingState.TokenEstimate estimate =
-        model == null
-            ? new RoutingState.TokenEstimate(0, 0)
-            : RoutingState.TokenEstimate.of(metadata, model);
-    Attempt next = new Attempt(this, context, first.statement(), choice.path(), matched, model);
+    boolean repeatable = route != null && route.repeatable();
+    var estimate = RoutingState.TokenEstimate.of(metadata, model);
+    Attempt next = new Attempt(this, context, first.statement(), choice.path(), route, model);
     attempt = next;
     next.start(request, metadata.id(), repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS, estimate);
   }
@@ -202,13 +207,8 @@
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
-    counts.recordRefusal();
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    if (counts.refusalLimitReached()) {
-      giveUp("targets refused the request");
-    } else {
-      tryNextTarget();
-    }
+    retryAfterRefusal("targets refused the request");
   }
 
   /** Handles a failed connection: nothing of the request reached the target. */
@@ -216,9 +216,13 @@
     attempt = null;
     context.faults().markSuspect(from.target().address(), reason);
     excludedTargets.add(from.target().id());
+    retryAfterRefusal("no target could be reached");
+  }
+
+  private void retryAfterRefusal(String reason) {
     counts.recordRefusal();
     if (counts.refusalLimitReached()) {
-      giveUp("no target could be reached");
+      giveUp(reason, RETRY_AFTER_SECONDS);
     } else {
       tryNextTarget();
     }
@@ -236,11 +240,8 @@
     }
     boolean retry = counts.mayRetry(route);
     counts.recordPossibleRun();
-    if (retry) {
-      tryNextTarget();
-    } else {
-      fail(HttpResponseStatus.BAD_GATEWAY, reason);
-    }
+    partGuard.afterLoss(
+        from, retry ? this::tryNextTarget : () -> fail(HttpResponseStatus.BAD_GATEWAY, reason));
   }
 
   /** Fails a response that was partly sent to the caller and cannot be continued. */
@@ -265,6 +266,9 @@
   }
 
   void sendWholeResponse(HttpResponse response, ByteBuf content) {
+    if (!finished) {
+      partGuard.onAnswered();
+    }
     if (finish("answered")) {
       caller.sendResponse(response.status(), HeaderCopies.ofResponse(response.headers()), content);
     } else {
@@ -279,10 +283,8 @@
     }
     if (!responseStarted) {
       responseStarted = true;
-      long now = System.nanoTime();
-      context
-          .metrics()
-          .recordTime("first_event_seconds{route=\"" + routeName() + "\"}", now - receivedAt);
+      partGuard.onAnswered();
+      context.metrics().recordFirstEvent(routeName(), System.nanoTime() - receivedAt);
       caller.begin(response.status(), HeaderCopies.ofResponse(response.headers()));
     }
     if (route != null && attempt != null) {
@@ -342,9 +344,9 @@
   }
 
   /** Ends the request: 503 with Retry-After if it has certainly not run, else 502. */
-  private void giveUp(String reason) {
+  private void giveUp(String reason, double retryAfterSeconds) {
     if (counts.certainlyNotRun()) {
-      refuse(reason, RETRY_AFTER_SECONDS);
+      refuse(reason, retryAfterSeconds);
     } else {
       fail(HttpResponseStatus.BAD_GATEWAY, reason);
     }
@@ -388,9 +390,7 @@
       attempt = null;
     }
     body.release();
-    String labels = "{route=\"" + routeName() + "\",outcome=\"" + outcome + "\"}";
-    context.metrics().count("requests_total" + labels);
-    context.metrics().recordTime("request_seconds" + labels, System.nanoTime() - receivedAt);
+    context.metrics().recordEnd(routeName(), outcome, System.nanoTime() - receivedAt);
     return true;
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.clementinesail.core.fleet.LostAnswerDetector;
 import org.clementinesail.core.fleet.StallProbeScheduler;
 import org.clementinesail.core.fleet.TargetStatement;
@@ -64,15 +65,30 @@
         probeScheduler.select(ids, routing.fleet().size(), routing.trafficVms(), System.nanoTime());
     for (Hop hop : path) {
       if (due.contains(hop.id())) {
-        probe.requestReport(hop.id(), hop.address(), result -> onProbeResult(hop, result));
+        probe.requestReport(hop.id(), hop.address(), result -> onProbeResult(hop.id(), result));
       }
     }
   }
 
-  private void onProbeResult(Hop hop, EngineProbe.Result result) {
+  /**
+   * Checks whether an engine that lost a request still reports, and marks it suspect if not.
+   *
+   * @param onChecked receives whether it reports
+   */
+  void checkEngine(TargetStatement target, Consumer<Boolean> onChecked) {
+    probe.awaitReport(
+        target.id(),
+        target.address(),
+        result -> {
+          onProbeResult(target.id(), result);
+          onChecked.accept(result instanceof EngineProbe.Reported);
+        });
+  }
+
+  private void onProbeResult(String id, EngineProbe.Result result) {
     long now = System.nanoTime();
     if (result instanceof EngineProbe.Failed failed) {
-      log.write("engine silent", "target", hop.id(), "reason", failed.reason());
+      log.write("engine silent", "target", id, "reason", failed.reason());
       routing.recordReport(failed.report(), now + SUSPECT_DURATION_NANOS);
     } else if (result instanceof EngineProbe.Reported reported) {
       routing.recordReport(reported.detail().report(), now);
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
@@ -12,6 +12,7 @@
  * @param routing desired state, fleet and load
  * @param targetPool connections to targets
  * @param faults detects targets that stall or lose responses
+ * @param crashes finds parts of requests that crash engines
  * @param startupWait how long requests wait for the first desired state
  * @param metrics receives the counters and latencies of requests
  * @param log receives refusals, failures and retries
@@ -22,6 +23,7 @@
     RoutingState routing,
     TargetPool targetPool,
     FaultDetector faults,
+    CrashReports crashes,
     StartupWait startupWait,
     ProxyMetrics metrics,
     DecisionLog log) {}
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
@@ -69,4 +69,16 @@
     out.append(base).append('{').append(labels).append("quantile=\"").append(quantile);
     out.append("\"} ").append(micros / TimeUnit.SECONDS.toMicros(1)).append('\n');
   }
+
+  /** Records the time from a request to the first part of its answer. */
+  void recordFirstEvent(String route, long nanos) {
+    recordTime("first_event_seconds{route=\"" + route + "\"}", nanos);
+  }
+
+  /** Counts a request that has ended, and records how long it took. */
+  void recordEnd(String route, String outcome, long nanos) {
+    String labels = "{route=\"" + route + "\",outcome=\"" + outcome + "\"}";
+    count("requests_total" + labels);
+    recordTime("request_seconds" + labels, nanos);
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -73,18 +73,25 @@
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
+    FaultDetector faults = new FaultDetector(routing, probe, log);
     this.context =
         new ProxyContext(
             loop,
             dialect,
             routing,
             pool,
-            new FaultDetector(routing, probe, log),
+            faults,
+            new CrashReports(loop, faults, log),
             startupWait,
             metrics,
             log);
   }
 
+  /** Returns what is known of parts of requests that crash engines. */
+  public CrashReports crashReports() {
+    return context.crashes();
+  }
+
   /**
    * Starts to accept connections. Blocks until the address is bound and throws the exception of a
    * failed bind, so it must not be called on the event loop.
--- a/server/src/main/java/org/clementinesail/server/proxy/RequestMetadata.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RequestMetadata.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -12,6 +13,7 @@
  * @param promptTokens tokens of the prompt, or 0 if not given
  * @param maxAnswerTokens maximum number of tokens of the answer, or 0 if not given
  * @param expectedAnswerTokens estimated number of tokens of the answer, or 0 if not given
+ * @param sharedParts ids of the parts of the prompt that other requests may share, in order
  * @param lastEventId event after which a stream is to continue, or null for a new stream
  */
 public record RequestMetadata(
@@ -22,4 +24,10 @@
     int promptTokens,
     int maxAnswerTokens,
     int expectedAnswerTokens,
-    @Nullable String lastEventId) {}
+    List<String> sharedParts,
+    @Nullable String lastEventId) {
+  /** Copies the list. */
+  public RequestMetadata {
+    sharedParts = List.copyOf(sharedParts);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -203,8 +203,11 @@
    * @param answerTokens expected tokens of the answer
    */
   record TokenEstimate(int promptTokens, int answerTokens) {
-    /** Returns the caller's values, or the model's means for those that are not given. */
-    static TokenEstimate of(RequestMetadata metadata, EngineModel model) {
+    /** Returns the caller's values or else the model's means; 0 for a service without a model. */
+    static TokenEstimate of(RequestMetadata metadata, @Nullable EngineModel model) {
+      if (model == null) {
+        return new TokenEstimate(0, 0);
+      }
       int expected =
           metadata.expectedAnswerTokens() > 0
               ? metadata.expectedAnswerTokens()
--- a/server/src/test/java/org/clementinesail/server/proxy/IdleEngineDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/IdleEngineDialect.java
@@ -23,7 +23,7 @@
   public DetailedReport parseReport(String id, byte[] body, long now) {
     LayerRange layers = new LayerRange(0, 40);
     return new DetailedReport(
-        new EngineReport(id, true, 0, 0, 0, 1, 1, false, 0, layers, now), List.of());
+        new EngineReport(id, true, 0, 0, 0, 4_000_000, 1, false, 0, layers, now), List.of());
   }
 
   @Override
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import com.google.common.base.Splitter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -20,6 +21,7 @@
         0,
         0,
         0,
+        Splitter.on(',').omitEmptyStrings().splitToList(headers.get("Parts", "")),
         headers.get("After"));
   }
 
--- a/wire/src/main/java/org/clementinesail/wire/FleetCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/FleetCodec.java
@@ -147,7 +147,7 @@
     return to > from ? new LayerRange(from, to) : null;
   }
 
-  private static int ageMillis(long time, long now) {
+  static int ageMillis(long time, long now) {
     return (int) Math.max(0, Math.min(Integer.MAX_VALUE, (now - time) / NANOS_PER_MILLI));
   }
 }
