Transfer leadership only to a voter that can be elected

Cause: a leader that gets too little processor time hands over, without a look at the successor: one that is down, or that lacks the newest entry, is not elected, and nobody leads until an election timeout. This struck while a lost voter was being replaced: nobody led from 21.8 to 23.0 s. Change: the successor must have answered as lately as the others and hold all entries; a planned stop waits for one, a slow leader goes on until there is one. Ruled out: no hand-over by slow leaders (slowLeaderHandsOver guards it).

--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -1,6 +1,5 @@
 package org.clementinesail.core.replication;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -38,6 +37,7 @@
   private final VoterChanges voters;
   private final LagDetector lag;
   private long nextHelloAt;
+  private boolean transferPending;
 
   /**
    * Creates a replica from its stored state.
@@ -144,7 +144,7 @@
     } else if (context.leaderState != null) {
       replication.tickLeader(context.leaderState, now);
       voters.tick(context.leaderState, now);
-      handOverIfLagging(now);
+      handOverIfDue(now);
     } else {
       elections.tick(now);
       if (bootstrap.open() && isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now)) {
@@ -186,29 +186,36 @@
   }
 
   /**
-   * Transfers leadership to the voter with the most entries; does nothing unless this one leads.
+   * Transfers leadership to a voter that answers and holds all entries, at once or as soon as there
+   * is one; does nothing unless this replica leads. Any other voter would not be elected, and
+   * nobody would lead until an election timeout.
    *
    * @param now current time in nanoseconds
    */
   public void transferLeadership(long now) {
+    transferPending = context.leaderState != null;
+    transferIfPossible(now);
+  }
+
+  /** Transfers leadership if a voter can be elected; returns whether it did. */
+  private boolean transferIfPossible(long now) {
     LeaderState state = context.leaderState;
-    if (state == null) {
-      return;
+    Optional<ReplicaId> successor = state == null ? Optional.empty() : voters.findSuccessor(state);
+    if (successor.isPresent()) {
+      transferPending = false;
+      context.becomeFollower(context.term, null, now);
+      context.send(successor.get(), context.term, new ReplicaMessage.TakeOver());
     }
-    Optional<ReplicaId> successor =
-        context.config.voters().stream()
-            .filter(v -> !v.equals(context.self))
-            .max(Comparator.comparingLong(v -> state.progress(v, 0).matchIndex));
-    context.becomeFollower(context.term, null, now);
-    successor.ifPresent(id -> context.send(id, context.term, new ReplicaMessage.TakeOver()));
+    return successor.isPresent();
   }
 
-  /** Transfers leadership if this VM gets too little processor time to lead without delays. */
-  private void handOverIfLagging(long now) {
-    boolean soleVoter = context.config.voters().size() == 1;
-    if (lag.isLagging() && context.leaderState != null && !soleVoter) {
+  /** Transfers leadership if it is to be transferred, or if this VM is too slow to lead. */
+  private void handOverIfDue(long now) {
+    transferPending &= context.leaderState != null;
+    if (transferPending) {
+      transferIfPossible(now);
+    } else if (lag.isLagging() && transferIfPossible(now)) {
       lag.reset();
-      transferLeadership(now);
     }
   }
 
--- a/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
+++ b/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
@@ -1,5 +1,6 @@
 package org.clementinesail.core.replication;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -16,6 +17,9 @@
   // Maximum election timeouts without an answer until a voter is removed.
   private static final int REMOVAL_TIMEOUTS = 6;
 
+  // Heartbeat intervals by which a voter that is asked to lead may have answered before the others.
+  private static final int MAX_ACK_HEARTBEATS = 3;
+
   private final ReplicaContext context;
   private final LogReplication replication;
   private final ClusterBootstrap bootstrap;
@@ -31,6 +35,23 @@
     promoteLearner(state, now);
   }
 
+  /** Returns a voter that answers and holds all entries, so that it can be elected. */
+  Optional<ReplicaId> findSuccessor(LeaderState state) {
+    List<ReplicaId> others =
+        context.config.voters().stream().filter(id -> !id.equals(context.self)).toList();
+    // Measured from the newest answer, as a slow leader is late to hear all of them.
+    long newestAck = others.isEmpty() ? 0 : state.progress(others.get(0), 0).ackedSendTime;
+    for (ReplicaId other : others) {
+      long ack = state.progress(other, 0).ackedSendTime;
+      newestAck = ack - newestAck > 0 ? ack : newestAck;
+    }
+    long oldestAck = newestAck - MAX_ACK_HEARTBEATS * context.timing.heartbeatNanos();
+    return others.stream()
+        .filter(id -> state.progress(id, 0).matchIndex >= context.log.lastIndex())
+        .filter(id -> state.progress(id, 0).ackedSendTime - oldestAck >= 0)
+        .max(Comparator.comparingLong(id -> state.progress(id, 0).ackedSendTime - oldestAck));
+  }
+
   /** Adds a replica as a learner, replacing a replica on the same VM or a silent voter. */
   void addLearner(LeaderState state, ReplicaId joiner, boolean blank, long now) {
     if (context.config.members().contains(joiner)) {
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -161,4 +161,33 @@
       assertEquals(Objects.requireNonNull(cluster.nodes.get("a").core).role(), Role.LEADER);
     }
   }
+
+  /** Leadership is not transferred to a voter that is down, which would leave nobody leading. */
+  @Test(dataProvider = "seeds")
+  public void leadershipIsNotTransferredToALostVoter(long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, "a", "b", "c");
+    cluster.run(RECONFIGURATION_MILLIS);
+    String old = cluster.awaitLeader().vm;
+    cluster.kill(old.equals("a") ? "b" : "a");
+    cluster.run(200);
+    cluster.core(old).transferLeadership(cluster.now());
+    cluster.run(150);
+    SimulatedCluster.Node next = cluster.leader();
+    assertNotEquals(next == null ? "nobody" : next.vm, "nobody");
+    assertNotEquals(next == null ? old : next.vm, old);
+  }
+
+  /** A leader with entries that no other voter holds yet goes on until one does. */
+  @Test(dataProvider = "seeds")
+  public void leadershipIsTransferredOnceAVoterHoldsAllEntries(long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, "a", "b", "c");
+    cluster.run(RECONFIGURATION_MILLIS);
+    String old = cluster.awaitLeader().vm;
+    cluster.propose(old, 7);
+    cluster.core(old).transferLeadership(cluster.now());
+    cluster.run(250);
+    SimulatedCluster.Node next = cluster.leader();
+    assertNotEquals(next == null ? "nobody" : next.vm, "nobody");
+    assertNotEquals(next == null ? old : next.vm, old);
+  }
 }
