Let the test's crashed engines answer no probe

Traced: a probe was answered after the crash; the stand-in closes its port while a thread waits in accept, which may still take one connection and serve it. A process that has crashed answers nothing. Change: an engine that has crashed closes every connection without an answer; the checks are the same. Ruled out: the cap of 50 ms on the wait for the probe (never reached in 479 probes).

--- a/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
@@ -16,6 +16,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -52,6 +54,7 @@
 
   private final AtomicInteger requestNumber = new AtomicInteger();
   private final List<ScriptedTarget> engines = new ArrayList<>();
+  private final Set<ScriptedTarget> crashed = ConcurrentHashMap.newKeySet();
   private final List<CrashRecord> sent = new CopyOnWriteArrayList<>();
   private MultiThreadIoEventLoopGroup group;
   private EventLoop loop;
@@ -129,7 +132,11 @@
     loop.submit(() -> routing.fleet().recordStatement(statement, System.nanoTime())).sync();
   }
 
-  private static String answer(ScriptedTarget engine, String request) {
+  private String answer(ScriptedTarget engine, String request) {
+    if (crashed.contains(engine)) {
+      // A connection that was accepted while the port was being closed.
+      return ScriptedTarget.CLOSE;
+    }
     if (request.startsWith("GET /report")) {
       return IdleEngineDialect.REPORT_RESPONSE;
     } else if (request.contains("lost")) {
@@ -137,6 +144,7 @@
     } else if (!request.contains("deadly")) {
       return STREAM;
     }
+    crashed.add(engine);
     try {
       engine.close();
       return ScriptedTarget.CLOSE;
@@ -153,6 +161,7 @@
       engine.close();
     }
     engines.clear();
+    crashed.clear();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
