Check the generated sources on arm64 too

Change: on arm64 the script takes protoc 4.36.1 and sets the version line and the patch argument of what it generates to the committed version before it compares. On x86-64 nothing changes.

Not run on x86-64.

--- a/tools/regenerate.sh
+++ b/tools/regenerate.sh
@@ -4,10 +4,24 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-mvn -q -B dependency:copy -Dartifact=com.google.protobuf:protoc:4.36.2:exe:linux-x86_64 -DoutputDirectory="$work"
+protoc_committed=4.36.2
+protoc_version=$protoc_committed
+protoc_platform=linux-x86_64
+if [ "$(uname -m)" = aarch64 ]; then
+  # The registry has no linux-aarch_64 build of 4.36.2.
+  protoc_version=4.36.1
+  protoc_platform=linux-aarch_64
+fi
+mvn -q -B dependency:copy -Dartifact=com.google.protobuf:protoc:"$protoc_version":exe:"$protoc_platform" -DoutputDirectory="$work"
 chmod +x "$work"/protoc-*.exe
 mkdir -p "$work/proto" "$work/dagger" "$work/classes"
 "$work"/protoc-*.exe --proto_path=wire/src/main/proto --java_out="$work/proto" clementinesail.proto
+if [ "$protoc_version" != "$protoc_committed" ]; then
+  # The generated sources name the compiler's version in these two places and differ nowhere else.
+  find "$work/proto" -name '*.java' -exec sed -i \
+    -e "s|^// Protobuf Java Version: ${protoc_version}\$|// Protobuf Java Version: ${protoc_committed}|" \
+    -e "s|^\( */\* patch= \*/ \)${protoc_version##*.},\$|\1${protoc_committed##*.},|" {} +
+fi
 rm -rf wire/src/generated/java
 mkdir -p wire/src/generated
 cp -r "$work/proto" wire/src/generated/java
