--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,7 +9,7 @@
 import shop  # noqa: E402
 
 SPOILED = 0.03  # share of the answers of the faulty server
-SECONDS = 102
+SECONDS = 92
 REQUESTERS = 40
 PAUSE_S = (0.2, 0.6)
 ENTRIES = 6
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -31,7 +31,7 @@
     play = shop.Shop(
         record, lambda s, i: Server(s.site, i, s.runs, record, trouble and i < FAULTY),
         servers_count=SERVERS)
-    await play.play(seconds=95, requesters=60, pause_s=(0.1, 0.5), orders=0.1)
+    await play.play(seconds=85, requesters=60, pause_s=(0.1, 0.5), orders=0.1)
     more = [r for r, runs in play.runs.items() if len({run["server"] for run in runs}) > MAX_ATTEMPTS]
     runs = [len(runs) for r, runs in play.runs.items() if play.sent[r] == "stock-check"]
     counts = {n: runs.count(n) for n in sorted(set(runs))}
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -459,9 +459,17 @@
     folder = os.path.dirname(os.path.abspath(script))
     record = Record(os.path.join(folder, "record.txt"))
     record.write("start", trouble=trouble)
+
+    async def run():
+        # Ends the started processes also when the script itself is stopped.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
+        return await case(record, trouble)
+
     try:
-        broken = asyncio.run(case(record, trouble))
-    except Exception as error:  # pylint: disable=broad-except
+        broken = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         record.write("could not run", error=repr(error))
         print("could not run:", repr(error))
         sys.exit(2)
