--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -331,7 +331,8 @@
             "config_mode": "highest",
         }
 
-    def start(self, node, bootstrap):
+    def start(self, node, bootstrap, core=None):
+        """Starts a process; on one processor core only, if its number is given."""
         path = os.path.join(self.folder, node["name"] + ".yaml")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(node, bootstrap), file)
@@ -343,11 +344,15 @@
             *shlex.split(role["run"]), cwd=ROOT, env=env,
             stdin=asyncio.subprocess.DEVNULL,
             stdout=open(os.path.join(self.folder, node["name"] + ".log"), "ab"),
-            stderr=asyncio.subprocess.STDOUT)
+            stderr=asyncio.subprocess.STDOUT,
+            preexec_fn=None if core is None else lambda: os.sched_setaffinity(0, {core}))
 
-    async def start_all(self):
-        for node in self.controls + self.entries:
+    async def start_all(self, entry_cores=None):
+        for node in self.controls:
             self.processes[node["name"]] = await self.start(node, True)
+        for number, node in enumerate(self.entries):
+            core = entry_cores[number] if entry_cores else None
+            self.processes[node["name"]] = await self.start(node, True, core)
 
     async def put(self, document):
         """Sends a desired state until it is accepted."""
