--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,6 +9,7 @@
 import shop  # noqa: E402
 
 SPOILED = 0.03  # share of the answers of the faulty server
+EVERY_S, FOR_S = 6.0, 5.0
 SECONDS = 92
 REQUESTERS = 40
 PAUSE_S = (0.2, 0.6)
@@ -36,7 +37,7 @@
 
     async def send(self, head, data, writer, ran):
         writer.write(data)
-        if self.faulty and random.random() < SPOILED:
+        if self.faulty and d.in_window(EVERY_S, FOR_S) and random.random() < SPOILED:
             self.extra[writer] = data
             self.record.write("copy kept", server=self.id, of=head.get("request-id"), ran=ran)
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -106,6 +106,11 @@
     return await asyncio.wait_for(exchange(), timeout)
 
 
+def in_window(every_s, length_s):
+    """Whether a disturbance that comes again and again, each time for a while, is on now."""
+    return time.monotonic() % every_s < length_s
+
+
 def reset(writer):
     """Closes a connection with a reset, as the end of a process does."""
     sock = writer.get_extra_info("socket")
