--- a/review/2/run.py
+++ b/review/2/run.py
@@ -8,12 +8,17 @@
 import deployment as d  # noqa: E402
 import shop  # noqa: E402
 
-SPOILED = 0.03  # share of the answers of a faulty server
+SERVERS, FAULTY = 4, 2  # a share of 0.5
+SPOILED = 0.02  # share of the answers of a faulty server
+EVERY_S, FOR_S = 6.0, 5.0
 
 
 class Server(shop.ShopServer):
+    def spoils(self):
+        return d.in_window(EVERY_S, FOR_S) and random.random() < SPOILED
+
     async def send(self, head, data, writer, ran):
-        if self.faulty and ran and random.random() < SPOILED:
+        if self.faulty and ran and self.spoils():
             end = data.index(b"\r\n\r\n")
             data += data[: random.randint(1, end)]
             self.record.write("additional bytes", server=self.id, after=head.get("request-id"))
@@ -32,9 +37,9 @@
 
 
 async def case(record, trouble):
-    # A share of 0.6 of three servers is two of them.
-    play = shop.Shop(record, lambda s, i: Server(s.site, i, s.runs, record, trouble and i < 2))
-    await play.play(seconds=80, requesters=60, pause_s=(0.1, 0.5))
+    play = shop.Shop(record, lambda s, i: Server(s.site, i, s.runs, record, trouble and i < FAULTY),
+                     servers_count=SERVERS)
+    await play.play(seconds=90, requesters=110, pause_s=(0.1, 0.5))
     broken = []
     for request, (head, body, _) in play.answers.items():
         if head.status // 100 != 2:
