--- a/review/4/run.py
+++ b/review/4/run.py
@@ -8,14 +8,19 @@
 import deployment as d  # noqa: E402
 import shop  # noqa: E402
 
-SPOILED = 0.03  # share of the answers of a faulty server
+SERVERS, FAULTY = 4, 2  # a share of 0.5
+SPOILED = 0.025  # share of the answers of a faulty server
+EVERY_S, FOR_S = 6.0, 5.0
 TIMEOUT_MS = 1500
 DEADLINE_MS = 3000
 
 
 class Server(shop.ShopServer):
+    def spoils(self):
+        return d.in_window(EVERY_S, FOR_S) and random.random() < SPOILED
+
     async def send(self, head, data, writer, ran):
-        if self.faulty and ran and random.random() < SPOILED:
+        if self.faulty and ran and self.spoils():
             first, end = data.index(b"\r\n") + 2, data.index(b"\r\n\r\n")
             at = random.randrange(first, end)
             data = data[:at] + bytes([random.randrange(256)]) + data[at + 1:]
@@ -25,10 +30,9 @@
 
 
 async def case(record, trouble):
-    # A share of 0.6 of three servers is two of them.
-    play = shop.Shop(record, lambda s, i: Server(s.site, i, s.runs, record, trouble and i < 2),
-                     TIMEOUT_MS, DEADLINE_MS)
-    await play.play(seconds=75, requesters=40, pause_s=(0.1, 0.5))
+    play = shop.Shop(record, lambda s, i: Server(s.site, i, s.runs, record, trouble and i < FAULTY),
+                     TIMEOUT_MS, DEADLINE_MS, servers_count=SERVERS)
+    await play.play(seconds=85, requesters=60, pause_s=(0.1, 0.5))
     late = [r for r in play.sent if r not in play.answers or play.answers[r][2] >= TIMEOUT_MS / 1e3]
     silent = [r for r in late if r not in play.answers
               or play.answers[r][2] > (TIMEOUT_MS + 500) / 1e3]
