Review case 5: inside the share of srv_grey, and streams with more slack

Cause: one of seven servers is above the share of 0.14; beside many other scripts sound streams ran into their timeout; the quotes left out parts.

Change: eight servers, streams of 12 events instead of 15.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -9,13 +9,13 @@
 import deployment as d  # noqa: E402
 import engine  # noqa: E402
 
-ENGINES = 7  # one of them crashes, one fails part of its requests: a share of 0.143 each
+ENGINES = 8  # one of them crashes, one fails part of its requests: a share of 0.125 each
 FAILS = 0.45  # share of the requests that the grey server fails
 CRASH_EVERY_S, DOWN_S = 5.0, 2.5
 GREY_S = 1.7  # the grey server fails requests for this long, from 0.2 s before a crash on
 SECONDS = 85
 REQUESTERS = 280
-EVENTS, GAP_S = 15, 0.1
+EVENTS, GAP_S = 12, 0.1
 TIMEOUT_MS = 2000
 DEADLINE_MS = 20000
 PATIENCE_S = 2.0  # requesters abandon a stream after this gap: 4 times the objective of 500 ms
