Log bytes from a target that belong to no request

The logs could not tell bytes left in a decoder from a late copy of an answer: skipped responses and messages on idle connections left no line.

Change: one line, "foreign bytes from target", for each malformed response, message outside of a response, and skipped response, with address, reason, request in progress, responses before on this connection, and idle time.

Result: compiled only; no logic has changed.

--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -144,7 +144,7 @@
         });
     driver.start();
     publisher.start();
-    TargetPool pool = new TargetPool(loop, dialect);
+    TargetPool pool = new TargetPool(loop, dialect, log);
     new PlacementLoop(loop, publisher, this::isLeader, this::desiredState, engineDialect, pool, log)
         .start();
     ControlApi api = new ControlApi(loop, controlDialect, publisher, driver, this::apiAddress, log);
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -71,7 +71,7 @@
       ProxyMetrics metrics,
       DecisionLog log) {
     this.loop = loop;
-    TargetPool pool = new TargetPool(loop, dialect);
+    TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
     FaultDetector faults = new FaultDetector(routing, probe, log);
     this.context =
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -132,9 +132,11 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+        logForeignBytes("malformed response: " + part.decoderResult().cause());
         fail("malformed response: " + part.decoderResult().cause());
       } else if (activeCall == null) {
         // Data outside of a response cannot be assigned to a request.
+        logForeignBytes("message outside of a response");
         close();
       } else {
         accept(message, activeCall);
@@ -152,6 +154,7 @@
               || (id.isPresent() && !call.requestId.isEmpty() && !id.get().equals(call.requestId));
       if (skippingResponse) {
         call.skippedResponses++;
+        logForeignBytes("response with status " + head.status().code() + " for " + id.orElse(""));
       } else {
         call.headReceived = true;
         keepAlive = HttpUtil.isKeepAlive(head);
@@ -209,6 +212,27 @@
         : DEFAULT_KEEP_ALIVE_NANOS;
   }
 
+  /** Logs bytes that belong to no request of this connection. */
+  private void logForeignBytes(String reason) {
+    ActiveCall call = activeCall;
+    long now = System.nanoTime();
+    pool.log()
+        .write(
+            "foreign bytes from target",
+            "address",
+            address,
+            "reason",
+            reason,
+            "request",
+            call == null ? "" : call.requestId,
+            "answered_before",
+            completedResponses,
+            "idle_ms",
+            call == null && completedResponses > 0
+                ? TimeUnit.NANOSECONDS.toMillis(now - idleSince)
+                : 0);
+  }
+
   private void fail(String reason) {
     ActiveCall call = activeCall;
     activeCall = null;
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -15,6 +15,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.ResponseListener.FailureKind;
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +35,7 @@
 
   private final EventLoop loop;
   private final Dialect dialect;
+  private final DecisionLog log;
   private final Bootstrap bootstrap;
   private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
   private long connectionsOpened;
@@ -43,10 +45,12 @@
    *
    * @param loop event loop that all methods are called on
    * @param dialect reads the request ids of responses
+   * @param log receives a line for each connection that sends bytes of no request
    */
-  public TargetPool(EventLoop loop, Dialect dialect) {
+  public TargetPool(EventLoop loop, Dialect dialect, DecisionLog log) {
     this.loop = loop;
     this.dialect = dialect;
+    this.log = log;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
@@ -120,6 +124,10 @@
     return loop;
   }
 
+  DecisionLog log() {
+    return log;
+  }
+
   void addIdle(TargetConnection connection) {
     idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).addFirst(connection);
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/EngineProbeTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/EngineProbeTest.java
@@ -5,9 +5,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.clementinesail.server.logging.DecisionLog;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -29,9 +31,9 @@
     results.clear();
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = (EventLoop) group.next();
-    probe =
-        new EngineProbe(
-            loop, new TargetPool(loop, new ShortHeaderDialect()), new IdleEngineDialect());
+    DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
+    TargetPool pool = new TargetPool(loop, new ShortHeaderDialect(), log);
+    probe = new EngineProbe(loop, pool, new IdleEngineDialect());
     engine = new ScriptedTarget();
     engine.script = request -> IdleEngineDialect.REPORT_RESPONSE;
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
@@ -44,7 +44,7 @@
         new RoutingState.Settings("a", TimeUnit.HOURS.toNanos(1), 0.2, 200);
     routing = new RoutingState(settings, new Random(1));
     DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
-    TargetPool pool = new TargetPool(loop, new ShortHeaderDialect());
+    TargetPool pool = new TargetPool(loop, new ShortHeaderDialect(), log);
     faults = new FaultDetector(routing, new EngineProbe(loop, pool, new IdleEngineDialect()), log);
     first = new ScriptedTarget();
     second = new ScriptedTarget();
