Decode only exact heads on kept connections, and drop connections with leftover bytes

Cause: bytes after a complete response stayed in the decoder of the kept connection. An incomplete head emits no message, so nobody looked. The head of the next response was appended and took their status, as the decoder accepts header lines without a colon.

Change: - ResponseDecoder tells how many bytes are undecoded and asks before each read whether bytes are expected. A connection is idle only after the read that ended its response brought nothing more; one with leftover bytes, or with any byte while idle, is closed. - Bytes that come after the next request was written cannot be seen in advance: HeadValidator accepts exact heads only (status line, CR LF, names, no status line inside a line, no repeated singular header). - ResponseOwner: on a reused connection a response must bear the request's id. Requests without an id use a new connection. - A response that was read in part is INCOMPLETE, not STALE_CONNECTION.

--- a/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/PlacementLoop.java
@@ -184,9 +184,8 @@
         order.layers(),
         "expected_sequence",
         order.expectedSequence());
-    pool.send(
+    pool.sendEngineCall(
         order.address(),
-        "",
         dialect.orderRequest(order),
         MAX_ORDER_CONNECTION_IDLE_NANOS,
         new OrderResponseListener(order, engines));
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.Set;
 
 /** Reads and writes the header names and formats of callers and targets. */
 public interface Dialect {
@@ -45,6 +46,12 @@
    */
   Optional<String> requestId(HttpResponse response);
 
+  /**
+   * Returns the names in lower case of the headers of this dialect that a response has at most
+   * once. A response that repeats one is malformed.
+   */
+  Set<String> singularResponseHeaders();
+
   /**
    * Returns the IP address and port of the target that caused a refusal, or empty if the response
    * names none.
--- a/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
@@ -101,7 +101,8 @@
   private void send(String id, String address, Consumer<Result> onResult) {
     PendingReport started = new PendingReport(id, onResult);
     pending.put(id, started);
-    started.call = pool.send(address, "", dialect.reportRequest(address), MAX_IDLE_NANOS, started);
+    started.call =
+        pool.sendEngineCall(address, dialect.reportRequest(address), MAX_IDLE_NANOS, started);
     started.startTimeout();
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -33,14 +34,24 @@
   /** Most bytes of bodies that are skipped; a connection with more is not worth reading. */
   private static final int MAX_SKIPPED_BYTES = 65_536;
 
+  /**
+   * Longest time for the body of a skipped response. One that takes longer has no end: its length
+   * covers the response to the request in progress.
+   */
+  private static final long MAX_SKIPPED_BODY_MS = 250;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
 
   private final TargetPool pool;
   private final String address;
   private final Dialect dialect;
+  private final ResponseDecoder decoder;
   private @Nullable Channel channel;
   private @Nullable ActiveCall activeCall;
   private boolean skippingResponse;
+  private boolean becomingIdle;
+  private boolean carriesEngineCalls;
+  private boolean closing;
   private boolean keepAlive;
   private boolean failed;
   private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
@@ -51,19 +62,28 @@
     this.pool = pool;
     this.address = address;
     this.dialect = dialect;
+    this.decoder =
+        new ResponseDecoder(dialect.singularResponseHeaders(), this::acceptsBytes, this::hasNoBody);
   }
 
   /** The request in progress. */
   private final class ActiveCall implements TargetCall {
     private final String requestId;
+    private final boolean engineCall;
+    private final boolean headRequest;
     private final ResponseListener listener;
     private boolean requestWritten;
+    private boolean bytesReceived;
     private boolean headReceived;
+    private boolean identified;
+    private boolean foreignResponse;
     private int skippedResponses;
     private int skippedBytes;
 
-    ActiveCall(String requestId, ResponseListener listener) {
+    ActiveCall(String requestId, boolean engineCall, HttpMethod method, ResponseListener listener) {
       this.requestId = requestId;
+      this.engineCall = engineCall;
+      this.headRequest = method.equals(HttpMethod.HEAD);
       this.listener = listener;
     }
 
@@ -87,6 +107,11 @@
     return address;
   }
 
+  /** Returns the handler that precedes this one in the pipeline. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   long idleSince() {
     return idleSince;
   }
@@ -97,18 +122,39 @@
         && now - idleSince < keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
   }
 
+  boolean carriesEngineCalls() {
+    return carriesEngineCalls;
+  }
+
+  /** Returns whether a response to the request could be told from those to earlier ones. */
+  boolean isUsableFor(String requestId) {
+    return !requestId.isEmpty() && !carriesEngineCalls;
+  }
+
   void close() {
+    closing = true;
+    becomingIdle = false;
     if (channel != null) {
       channel.close();
     }
   }
 
   TargetCall send(String requestId, FullHttpRequest request, ResponseListener listener) {
-    ActiveCall call = new ActiveCall(requestId, listener);
+    return send(new ActiveCall(requestId, false, request.method(), listener), request);
+  }
+
+  /** Sends a call whose response bears no request id; requests cannot use the connection then. */
+  TargetCall sendEngineCall(FullHttpRequest request, ResponseListener listener) {
+    carriesEngineCalls = true;
+    return send(new ActiveCall("", true, request.method(), listener), request);
+  }
+
+  private TargetCall send(ActiveCall call, FullHttpRequest request) {
     Channel open = channel;
     if (open == null || !open.isActive()) {
       request.release();
-      pool.loop().execute(() -> listener.onFailure(FailureKind.NOT_SENT, "connection is closed"));
+      pool.loop()
+          .execute(() -> call.listener.onFailure(FailureKind.NOT_SENT, "connection is closed"));
       return call;
     }
     activeCall = call;
@@ -128,18 +174,47 @@
     channel = context.channel();
   }
 
+  /** Accepts bytes for the decoder only while a request is in progress. */
+  private boolean acceptsBytes(int count) {
+    ActiveCall call = activeCall;
+    if (call != null) {
+      call.bytesReceived = true;
+    } else if (!closing) {
+      // Bytes outside of a response cannot be assigned to a request.
+      logForeignBytes("bytes outside of a response", count);
+      pool.removeIdle(this);
+      close();
+    }
+    return call != null;
+  }
+
+  private boolean hasNoBody(HttpResponse response) {
+    ActiveCall call = activeCall;
+    return call != null
+        && call.headRequest
+        && owner(call, response) == ResponseOwner.CURRENT_REQUEST;
+  }
+
+  private ResponseOwner owner(ActiveCall call, HttpResponse response) {
+    Optional<String> id = dialect.requestId(response);
+    return call.engineCall
+        ? ResponseOwner.ofEngineCall(id)
+        : ResponseOwner.of(call.requestId, id, completedResponses > 0);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
+      ActiveCall call = activeCall;
+      if (call == null) {
+        return;
+      }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        logForeignBytes("malformed response: " + part.decoderResult().cause());
-        fail("malformed response: " + part.decoderResult().cause());
-      } else if (activeCall == null) {
-        // Data outside of a response cannot be assigned to a request.
-        logForeignBytes("message outside of a response");
-        close();
+        String reason = "malformed response: " + part.decoderResult().cause();
+        logForeignBytes(reason, decoder.undecodedBytes());
+        fail(reason);
       } else {
-        accept(message, activeCall);
+        accept(message, call);
       }
     } finally {
       ReferenceCountUtil.release(message);
@@ -148,19 +223,7 @@
 
   private void accept(Object message, ActiveCall call) {
     if (message instanceof HttpResponse head) {
-      Optional<String> id = dialect.requestId(head);
-      skippingResponse =
-          head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-              || (id.isPresent() && !call.requestId.isEmpty() && !id.get().equals(call.requestId));
-      if (skippingResponse) {
-        call.skippedResponses++;
-        logForeignBytes("response with status " + head.status().code() + " for " + id.orElse(""));
-      } else {
-        call.headReceived = true;
-        keepAlive = HttpUtil.isKeepAlive(head);
-        keepAliveNanos = keepAliveNanos(head);
-        call.listener.onHead(head);
-      }
+      acceptHead(head, call);
     }
     if (skippingResponse && message instanceof HttpContent skipped) {
       call.skippedBytes += skipped.content().readableBytes();
@@ -179,6 +242,44 @@
     }
   }
 
+  private void acceptHead(HttpResponse head, ActiveCall call) {
+    boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    ResponseOwner owner = informational ? ResponseOwner.OTHER_REQUEST : owner(call, head);
+    skippingResponse = owner == ResponseOwner.OTHER_REQUEST;
+    if (owner == ResponseOwner.UNKNOWN) {
+      logForeignBytes("response without request id", decoder.undecodedBytes());
+      fail("response without request id on a reused connection");
+    } else if (informational) {
+      call.skippedResponses++;
+    } else if (skippingResponse) {
+      skipForeignResponse(head, call);
+    } else {
+      call.headReceived = true;
+      call.identified = dialect.requestId(head).isPresent();
+      keepAlive = HttpUtil.isKeepAlive(head);
+      keepAliveNanos = keepAliveNanos(head);
+      call.listener.onHead(head);
+    }
+  }
+
+  private void skipForeignResponse(HttpResponse head, ActiveCall call) {
+    call.skippedResponses++;
+    call.foreignResponse = true;
+    int skipped = call.skippedResponses;
+    logForeignBytes(
+        "response with status " + head.status().code() + " for another request",
+        decoder.undecodedBytes());
+    pool.loop()
+        .schedule(
+            () -> {
+              if (activeCall == call && skippingResponse && call.skippedResponses == skipped) {
+                fail("another request's response does not end");
+              }
+            },
+            MAX_SKIPPED_BODY_MS,
+            TimeUnit.MILLISECONDS);
+  }
+
   private void finish(ActiveCall call) {
     if (skippingResponse) {
       skippingResponse = false;
@@ -191,16 +292,34 @@
     activeCall = null;
     completedResponses++;
     idleSince = System.nanoTime();
+    int undecoded = decoder.undecodedBytes();
+    if (undecoded > 0) {
+      logForeignBytes("bytes after the end of a response", undecoded);
+    }
     Channel open = channel;
-    if (keepAlive && call.requestWritten && open != null && open.isActive()) {
+    if (undecoded == 0 && mayKeep(call) && open != null && open.isActive()) {
       open.config().setAutoRead(true);
-      pool.addIdle(this);
+      becomingIdle = true;
     } else {
       close();
     }
     call.listener.onComplete();
   }
 
+  private boolean mayKeep(ActiveCall call) {
+    boolean verified = call.engineCall || (call.identified && !call.requestId.isEmpty());
+    return keepAlive && call.requestWritten && verified && !call.foreignResponse;
+  }
+
+  /** Makes the connection available again, unless the read has brought more than the response. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (becomingIdle) {
+      becomingIdle = false;
+      pool.addIdle(this);
+    }
+  }
+
   private static long keepAliveNanos(HttpResponse head) {
     String value = head.headers().get("Keep-Alive");
     if (value == null) {
@@ -213,9 +332,9 @@
   }
 
   /** Logs bytes that belong to no request of this connection. */
-  private void logForeignBytes(String reason) {
+  private void logForeignBytes(String reason, int undecodedBytes) {
     ActiveCall call = activeCall;
-    long now = System.nanoTime();
+    long idleNanos = call == null && completedResponses > 0 ? System.nanoTime() - idleSince : 0;
     pool.log()
         .write(
             "foreign bytes from target",
@@ -223,14 +342,14 @@
             address,
             "reason",
             reason,
+            "bytes",
+            undecodedBytes,
             "request",
             call == null ? "" : call.requestId,
             "answered_before",
             completedResponses,
             "idle_ms",
-            call == null && completedResponses > 0
-                ? TimeUnit.NANOSECONDS.toMillis(now - idleSince)
-                : 0);
+            TimeUnit.NANOSECONDS.toMillis(idleNanos));
   }
 
   private void fail(String reason) {
@@ -240,7 +359,7 @@
     pool.removeIdle(this);
     close();
     if (call != null) {
-      boolean staleConnection = completedResponses > 0 && !call.headReceived;
+      boolean staleConnection = completedResponses > 0 && !call.bytesReceived;
       call.listener.onFailure(
           staleConnection ? FailureKind.STALE_CONNECTION : FailureKind.INCOMPLETE, reason);
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -8,13 +8,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.ResponseListener.FailureKind;
 import org.jspecify.annotations.Nullable;
@@ -31,8 +33,6 @@
   /** Timeout of connects; many round trips between the data centres of a site. */
   private static final int CONNECT_TIMEOUT_MS = 500;
 
-  private static final int MAX_HEAD_BYTES = 32_768;
-
   private final EventLoop loop;
   private final Dialect dialect;
   private final DecisionLog log;
@@ -63,7 +63,8 @@
    * Sends a request on an idle connection, or on a new one if none is recent enough.
    *
    * @param address IP address and port of the target
-   * @param requestId responses with another request id are skipped; empty to accept any
+   * @param requestId responses with another request id are skipped; an empty one needs a new
+   *     connection, which is not kept
    * @param request the request; released by this method
    * @param maxIdleNanos maximum idle time in nanoseconds of a reused connection; 0 for a new one
    * @param listener receives the response on the event loop
@@ -74,12 +75,44 @@
       FullHttpRequest request,
       long maxIdleNanos,
       ResponseListener listener) {
-    TargetConnection reused = takeIdle(address, maxIdleNanos);
+    TargetConnection reused =
+        takeIdle(address, maxIdleNanos, connection -> connection.isUsableFor(requestId));
     if (reused != null) {
       return reused.send(requestId, request, listener);
     }
+    return connect(
+        address, request, listener, connection -> connection.send(requestId, request, listener));
+  }
+
+  /**
+   * Sends a call that engines answer without a request id, such as the request for a report.
+   * Responses with a request id are skipped. Requests do not use its connection afterwards.
+   *
+   * @param address IP address and port of the engine
+   * @param request the call; released by this method
+   * @param maxIdleNanos maximum idle time in nanoseconds of a reused connection; 0 for a new one
+   * @param listener receives the response on the event loop
+   */
+  public TargetCall sendEngineCall(
+      String address, FullHttpRequest request, long maxIdleNanos, ResponseListener listener) {
+    TargetConnection reused = takeIdle(address, maxIdleNanos, TargetConnection::carriesEngineCalls);
+    if (reused == null) {
+      reused = takeIdle(address, maxIdleNanos, connection -> true);
+    }
+    if (reused != null) {
+      return reused.sendEngineCall(request, listener);
+    }
+    return connect(
+        address, request, listener, connection -> connection.sendEngineCall(request, listener));
+  }
+
+  private TargetCall connect(
+      String address,
+      FullHttpRequest request,
+      ResponseListener listener,
+      Function<TargetConnection, TargetCall> sender) {
     connectionsOpened++;
-    PendingCall pending = new PendingCall(requestId, request, listener);
+    PendingCall pending = new PendingCall(request, listener, sender);
     int colon = address.lastIndexOf(':');
     InetSocketAddress remote =
         new InetSocketAddress(
@@ -90,12 +123,11 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                HttpDecoderConfig config =
-                    new HttpDecoderConfig()
-                        .setMaxHeaderSize(MAX_HEAD_BYTES)
-                        .setValidateHeaders(false);
-                channel.pipeline().addLast(new HttpClientCodec(config, false, false));
-                channel.pipeline().addLast(new TargetConnection(TargetPool.this, address, dialect));
+                TargetConnection connection =
+                    new TargetConnection(TargetPool.this, address, dialect);
+                channel
+                    .pipeline()
+                    .addLast(new HttpRequestEncoder(), connection.decoder(), connection);
               }
             })
         .connect(remote)
@@ -139,40 +171,42 @@
     }
   }
 
-  private @Nullable TargetConnection takeIdle(String address, long maxIdleNanos) {
-    Deque<TargetConnection> connections = idle.get(address);
+  private @Nullable TargetConnection takeIdle(
+      String address, long maxIdleNanos, Predicate<TargetConnection> usable) {
+    Deque<TargetConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
     long now = System.nanoTime();
-    while (connections != null && !connections.isEmpty()) {
-      // The most recently used connection comes first: if it is too old, all are.
-      TargetConnection first = connections.peekFirst();
-      if (first == null || !first.isUsable(now)) {
-        connections.removeFirst();
-        if (first != null) {
-          first.close();
-        }
-        continue;
-      }
-      if (now - first.idleSince() > maxIdleNanos) {
+    // The most recently used connection comes first: if it is too old, all are.
+    Iterator<TargetConnection> iterator = connections.iterator();
+    while (iterator.hasNext()) {
+      TargetConnection connection = iterator.next();
+      if (!connection.isUsable(now)) {
+        iterator.remove();
+        connection.close();
+      } else if (now - connection.idleSince() > maxIdleNanos) {
         return null;
+      } else if (usable.test(connection)) {
+        iterator.remove();
+        return connection;
       }
-      connections.removeFirst();
-      return first;
     }
     return null;
   }
 
   /** A call whose connection is being established. */
   private static final class PendingCall implements TargetCall {
-    private final String requestId;
     private final FullHttpRequest request;
     private final ResponseListener listener;
+    private final Function<TargetConnection, TargetCall> sender;
     private @Nullable TargetCall call;
     private boolean cancelled;
 
-    PendingCall(String requestId, FullHttpRequest request, ResponseListener listener) {
-      this.requestId = requestId;
+    PendingCall(
+        FullHttpRequest request,
+        ResponseListener listener,
+        Function<TargetConnection, TargetCall> sender) {
       this.request = request;
       this.listener = listener;
+      this.sender = sender;
     }
 
     void onConnected(ChannelFuture done) {
@@ -190,7 +224,7 @@
         listener.onFailure(FailureKind.NOT_SENT, "connection closed before the request was sent");
         return;
       }
-      call = connection.send(requestId, request, listener);
+      call = sender.apply(connection);
     }
 
     @Override
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -123,7 +123,8 @@
           method
               + " "
               + path
-              + " HTTP/1.1\r\nHost: shop\r\nId: r1\r\nConnection: close\r\n"
+              + " HTTP/1.1\r\nHost: shop\r\nConnection: close\r\n"
+              + (headers.startsWith("Id: ") ? "" : "Id: r1\r\n")
               + headers
               + length
               + "\r\n"
--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
@@ -24,6 +25,11 @@
   /** Keeps the connection open and sends nothing. */
   static final String HANG = "<hang>";
 
+  /** Sends the bytes before this marker, and those after it 40 ms later. */
+  static final String PAUSE = "<pause>";
+
+  private static final long PAUSE_MS = 40;
+
   /** Repeats the text after this marker until the other side closes the connection. */
   static final String ENDLESS = "<endless>";
 
@@ -71,8 +77,7 @@
         int endless = whole.indexOf(ENDLESS);
         String response = endless < 0 ? whole : whole.substring(0, endless);
         String bytes = response.replace(CLOSE, "").replace(RESET, "").replace(HANG, "");
-        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+        writeWithPauses(socket, bytes);
         if (endless >= 0) {
           repeat(socket, whole.substring(endless + ENDLESS.length()));
         }
@@ -89,6 +94,30 @@
     }
   }
 
+  private static void writeWithPauses(Socket socket, String bytes) throws IOException {
+    String[] parts = bytes.split(PAUSE, -1);
+    for (int i = 0; i < parts.length; i++) {
+      if (i > 0) {
+        pause();
+      }
+      socket.getOutputStream().write(parts[i].getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+  }
+
+  private static void pause() throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+    } catch (InterruptedException e) {
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  /** Returns how many connections were accepted. */
+  int connections() {
+    return open.size();
+  }
+
   private void repeat(Socket socket, String text) throws IOException {
     byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
     endlessRunning = true;
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.Set;
 import org.clementinesail.core.placement.PlacementController.Order;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
@@ -53,6 +54,11 @@
     return Optional.ofNullable(response.headers().get("Id"));
   }
 
+  @Override
+  public Set<String> singularResponseHeaders() {
+    return Set.of("id", "proof");
+  }
+
   @Override
   public Optional<String> faultyAddress(HttpResponse response) {
     return Optional.empty();
