Send a request at most once on a connection

Cause: a late copy of the refusal of the first send bears the same request id as the second send on the same connection.

Evidence, before: LeftoverBytesTest.lateCopyOfARefusalDoesNotRepeatTheRequest "expected [1] but found [2]" runs; TargetPoolTest.requestIsSentOnceOnAConnection "expected [2] but found [1]" connections.

Change: a connection is not used again for one of its latest 256 request ids.

--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -12,8 +12,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -40,6 +42,9 @@
    */
   private static final long MAX_SKIPPED_BODY_MS = 250;
 
+  /** Number of the latest request ids that a connection does not carry again. */
+  private static final int MAX_SENT_IDS = 256;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
 
   private final TargetPool pool;
@@ -51,6 +56,7 @@
   private boolean skippingResponse;
   private boolean becomingIdle;
   private boolean carriesEngineCalls;
+  private final Set<String> sentIds = new LinkedHashSet<>();
   private boolean closing;
   private boolean keepAlive;
   private boolean failed;
@@ -128,7 +134,7 @@
 
   /** Returns whether a response to the request could be told from those to earlier ones. */
   boolean isUsableFor(String requestId) {
-    return !requestId.isEmpty() && !carriesEngineCalls;
+    return !requestId.isEmpty() && !carriesEngineCalls && !sentIds.contains(requestId);
   }
 
   void close() {
@@ -140,6 +146,10 @@
   }
 
   TargetCall send(String requestId, FullHttpRequest request, ResponseListener listener) {
+    sentIds.add(requestId);
+    if (sentIds.size() > MAX_SENT_IDS) {
+      sentIds.remove(sentIds.iterator().next());
+    }
     return send(new ActiveCall(requestId, false, request.method(), listener), request);
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/LeftoverBytesTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/LeftoverBytesTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -78,4 +79,23 @@
       assertEquals(runs, 1, answer);
     }
   }
+
+  /** A late copy of a refusal is not the answer to the second send: the request runs once. */
+  @Test(timeOut = 20_000)
+  public void lateCopyOfARefusalDoesNotRepeatTheRequest() throws Exception {
+    applyDesiredState();
+    addTarget("t1", first, "a");
+    String success = response("200 OK", "r1", "");
+    AtomicInteger runs = new AtomicInteger();
+    first.script =
+        request -> {
+          if (first.requests.size() == 1) {
+            return REFUSED;
+          }
+          runs.incrementAndGet();
+          return (first.connections() == 1 ? REFUSED : "") + success;
+        };
+    assertEquals(status(call("POST", "/once/x", "", "pay")), 200);
+    assertEquals(runs.get(), 1);
+  }
 }
--- a/server/src/test/java/org/clementinesail/server/proxy/TargetPoolTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TargetPoolTest.java
@@ -316,6 +316,17 @@
     assertEquals(target.connections(), 2);
   }
 
+  /** A late copy of the first answer to a request could not be told from the second. */
+  @Test
+  public void requestIsSentOnceOnAConnection() throws Exception {
+    answerInTurn(refusal("r0"), success("r1"), success("r0"));
+    assertEquals(call("r0").status(), 503);
+    assertEquals(call("r1").status(), 200);
+    assertEquals(target.connections(), 1);
+    assertEquals(call("r0").status(), 200);
+    assertEquals(target.connections(), 2);
+  }
+
   private Outcome callEngine() throws Exception {
     Collector collector = new Collector();
     loop.execute(
