Check a target's head on receipt, and turn listeners' exceptions into failures

Cause: the head was checked only when it was written to the caller, after the request had been ended and its timer cancelled.

Evidence, before: TargetPoolTest.spoiltHeadIsValidOrLost "Validation failed for header 'Date'", exceptionOfAListenerIsItsFailure "Timeout", 6 of 182 cases failed. The two new cases of ProxyServerTest were not run on the old code.

Change: a control character in a header value makes the head malformed: a lost response, retried if the route allows it, else 502. TargetConnection reports an exception of a ResponseListener as a failure of its call, with the line "listener failed".

--- a/server/src/main/java/org/clementinesail/server/proxy/HeadValidator.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/HeadValidator.java
@@ -7,7 +7,8 @@
 
 /**
  * Checks the lines of a response's head. Stricter than RFC 9112: a head that was put together from
- * parts of two heads must not pass for one, since its status may be that of another response.
+ * parts of two heads must not pass for one, since its status may be that of another response, and
+ * one that cannot be passed on must fail here, where the request can still be retried.
  */
 final class HeadValidator {
   private static final Pattern STATUS_LINE =
@@ -15,6 +16,7 @@
   private static final Pattern EMBEDDED_STATUS_LINE =
       Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
   private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+  private static final Pattern CONTROL_CHARACTER = Pattern.compile("[\\p{Cntrl}&&[^\t]]");
   private static final String SWITCHING_PROTOCOLS = "101";
   private static final int STATUS_LINE_CODE = "HTTP/1.1 ".length();
 
@@ -87,6 +89,9 @@
     if (!HEADER_NAME.matcher(name).matches()) {
       throw new MalformedMessageException("invalid header name");
     }
+    if (CONTROL_CHARACTER.matcher(line).find()) {
+      throw new MalformedMessageException("header value contains a control character");
+    }
     if (EMBEDDED_STATUS_LINE.matcher(line).find()) {
       throw new MalformedMessageException("header value contains a status line");
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -36,10 +36,7 @@
   /** Most bytes of bodies that are skipped; a connection with more is not worth reading. */
   private static final int MAX_SKIPPED_BYTES = 65_536;
 
-  /**
-   * Longest time for the body of a skipped response. One that takes longer has no end: its length
-   * covers the response to the request in progress.
-   */
+  /** Longest time for the body of a skipped response; its length may cover the next response. */
   private static final long MAX_SKIPPED_BODY_MS = 250;
 
   /** Number of the latest request ids that a connection does not carry again. */
@@ -244,7 +241,7 @@
     }
     if (message instanceof HttpContent content && activeCall == call) {
       if (!skippingResponse && call.headReceived && content.content().isReadable()) {
-        call.listener.onContent(content.content());
+        callListener(call, () -> call.listener.onContent(content.content()));
       }
       if (message instanceof LastHttpContent && activeCall == call) {
         finish(call);
@@ -268,7 +265,7 @@
       call.identified = dialect.requestId(head).isPresent();
       keepAlive = HttpUtil.isKeepAlive(head);
       keepAliveNanos = keepAliveNanos(head);
-      call.listener.onHead(head);
+      callListener(call, () -> call.listener.onHead(head));
     }
   }
 
@@ -313,7 +310,7 @@
     } else {
       close();
     }
-    call.listener.onComplete();
+    callListener(call, call.listener::onComplete);
   }
 
   private boolean mayKeep(ActiveCall call) {
@@ -321,6 +318,19 @@
     return keepAlive && call.requestWritten && verified && !call.foreignResponse;
   }
 
+  /** Calls the listener; an exception that it throws is a failure of its request. */
+  private void callListener(ActiveCall call, Runnable callback) {
+    try {
+      callback.run();
+    } catch (RuntimeException e) {
+      pool.log()
+          .write("listener failed", "address", address, "request", call.requestId, "reason", e);
+      activeCall = null;
+      close();
+      call.listener.onFailure(FailureKind.INCOMPLETE, "response could not be processed: " + e);
+    }
+  }
+
   /** Makes the connection available again, unless the read has brought more than the response. */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyServerTest.java
@@ -109,6 +109,8 @@
         502
       },
       {"no proof", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil", 200, 502},
+      {"control character", OK_RESPONSE.replace("Proof", "X-Own: a\0b\r\nProof"), 200, 502},
+      {"invalid header name", OK_RESPONSE.replace("Proof", "X\u00e9Own: a\r\nProof"), 200, 502},
       {"not HTTP", "hello there\r\n\r\n" + ScriptedTarget.CLOSE, 200, 502},
       {
         "other request's response, closed",
--- a/server/src/test/java/org/clementinesail/server/proxy/TargetPoolTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TargetPoolTest.java
@@ -10,7 +10,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -327,6 +329,72 @@
     assertEquals(target.connections(), 2);
   }
 
+  /** Position of a byte in a head, and the byte that takes its place. */
+  @DataProvider
+  public Object[][] spoilingBytes() {
+    return new Object[][] {{0}, {1}, {9}, {10}, {11}, {12}, {13}, {32}, {58}, {127}, {133}, {255}};
+  }
+
+  /** One spoilt byte of a head never yields a head that cannot be passed on. */
+  @Test(dataProvider = "spoilingBytes")
+  public void spoiltHeadIsValidOrLost(int spoilingByte) throws Exception {
+    String sound = success("r0");
+    for (int at = 0; at < sound.indexOf("\r\n\r\n"); at++) {
+      String spoilt = sound.substring(0, at) + (char) spoilingByte + sound.substring(at + 1);
+      answerInTurn(spoilt + ScriptedTarget.CLOSE);
+      Collector collector = new Collector();
+      send("r0", collector);
+      Outcome outcome = collector.outcome.get(RESULT_TIMEOUT_S, TimeUnit.SECONDS);
+      if (outcome.failure() == null) {
+        HttpHeaders validating = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        validating.set(collector.head.join().headers());
+        assertEquals(outcome.status(), 200, "at " + at);
+      }
+    }
+  }
+
+  /** Where a listener throws. */
+  @DataProvider
+  public Object[][] throwingCallbacks() {
+    return new Object[][] {{"head"}, {"content"}, {"complete"}};
+  }
+
+  /** An exception of a listener ends its request as failed; the next request is served. */
+  @Test(dataProvider = "throwingCallbacks")
+  public void exceptionOfAListenerIsItsFailure(String callback) throws Exception {
+    answerInTurn(success("r0"), success("r1"));
+    Collector collector =
+        new Collector() {
+          private void throwIf(String name) {
+            if (callback.equals(name)) {
+              throw new IllegalStateException("listener failed");
+            }
+          }
+
+          @Override
+          public void onHead(HttpResponse response) {
+            throwIf("head");
+            super.onHead(response);
+          }
+
+          @Override
+          public void onContent(ByteBuf content) {
+            throwIf("content");
+            super.onContent(content);
+          }
+
+          @Override
+          public void onComplete() {
+            throwIf("complete");
+            super.onComplete();
+          }
+        };
+    send("r0", collector);
+    Outcome outcome = collector.outcome.get(5, TimeUnit.SECONDS);
+    assertEquals(outcome.failure(), ResponseListener.FailureKind.INCOMPLETE, outcome.toString());
+    assertEquals(call("r1").body(), "well r1");
+  }
+
   private Outcome callEngine() throws Exception {
     Collector collector = new Collector();
     loop.execute(
