Let only an event stream with proof go on in a stream that has begun

Callers whose stream broke off got, from the next target's failure: nothing at all until they left (500, 503, 404, 200 of another type), the failure's body inside their stream and its end as if complete (bodies above 64 KiB, a 200 without a type), or the end of a complete stream (204). Streams whose events bear no rising ids were continued from their beginning, so events came twice.

Cause: Attempt decided on a head by its status and type alone, not by what the caller had received, and CallerConnection wrote a second head into a response and did not look at the failed write. Now ResponseHead (core) is the one place that decides what a head means, given ResponseProgress, which knows what was sent and whether it can be continued. What cannot follow is sent elsewhere if the route's attempts and the budget allow, else the caller's connection ends without the last chunk. CallerConnection ends a connection on which a second head is written or a write fails, with the line "response broken off". ResponseSender takes over from Exchange what is written to the caller.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -4,8 +4,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +14,8 @@
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.LocalLoad;
+import org.clementinesail.core.responses.ResponseHead;
+import org.clementinesail.core.responses.ResponseProgress;
 import org.jspecify.annotations.Nullable;
 
 /** One attempt of a request: sends it to a target and processes the response. */
@@ -36,8 +38,6 @@
   /** Divisor of the moving average: the newest pause has a weight of 1 in this many. */
   private static final int PAUSE_AVERAGE_DIVISOR = 4;
 
-  private static final String EVENT_STREAM = "text/event-stream";
-
   private enum Mode {
     AWAITING_HEAD,
     REFUSED,
@@ -54,6 +54,8 @@
   private final @Nullable Route route;
   private final @Nullable EngineModel model;
   private final EventSplitter splitter = new EventSplitter(this::onEvent);
+  private final @Nullable String runStart;
+  private final boolean continued;
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf buffer;
   private @Nullable TargetCall call;
@@ -79,6 +81,8 @@
     this.path = path;
     this.route = route;
     this.model = model;
+    this.runStart = exchange.sender().progress().lastEventId();
+    this.continued = exchange.sender().progress().started();
   }
 
   TargetStatement target() {
@@ -89,6 +93,10 @@
     return path;
   }
 
+  @Nullable Route route() {
+    return route;
+  }
+
   /** Returns the {@link System#nanoTime} at which the request was sent. */
   long sentAt() {
     return sentAt;
@@ -152,24 +160,32 @@
     }
     head = response;
     lastProgressAt = System.nanoTime();
-    boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (context.dialect().isRefusal(response)) {
-      mode = Mode.REFUSED;
-      refusedAt = lastProgressAt;
-    } else if (success && !context.dialect().hasTargetProof(response)) {
-      reportLostResponse(false, "success response without the proof header of a target");
-    } else if (success && isEventStream(response)) {
-      mode = Mode.EVENTS;
-    } else {
-      mode = Mode.BUFFERED;
-      buffer = Unpooled.buffer();
+    boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
+    switch (readHead(response).use(streamRoute, exchange.sender().progress())) {
+      case REFUSAL -> {
+        mode = Mode.REFUSED;
+        refusedAt = lastProgressAt;
+      }
+      case UNPROVEN ->
+          reportLostResponse(false, "success response without the proof header of a target");
+      case NO_CONTINUATION ->
+          reportNoContinuation("status " + response.status().code() + ", no rest of the stream");
+      case EVENTS -> mode = Mode.EVENTS;
+      case WHOLE -> {
+        mode = Mode.BUFFERED;
+        buffer = Unpooled.buffer();
+      }
     }
   }
 
-  private boolean isEventStream(HttpResponse response) {
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    boolean stream = route != null && route.kind() == Route.Kind.STREAM;
-    return stream && (type == null || type.startsWith(EVENT_STREAM));
+  private ResponseHead readHead(HttpResponse response) {
+    HttpHeaders headers = response.headers();
+    return new ResponseHead(
+        response.status().code(),
+        context.dialect().isRefusal(response),
+        context.dialect().hasTargetProof(response),
+        headers.get(HttpHeaderNames.CONTENT_TYPE),
+        headers.contains(HttpHeaderNames.CONTENT_ENCODING));
   }
 
   @Override
@@ -193,14 +209,14 @@
       buffered.writeBytes(content);
       if (buffered.readableBytes() > MAX_BUFFERED_BYTES && response != null) {
         mode = Mode.PASSED_ON;
-        exchange.sendPart(response, buffered, null);
+        exchange.sender().sendBytes(this, response, buffered);
         buffered.release();
         buffer = null;
-        exchange.flushParts();
+        exchange.sender().flush(this);
       }
     } else if (mode == Mode.PASSED_ON && response != null) {
-      exchange.sendPart(response, content, null);
-      exchange.flushParts();
+      exchange.sender().sendBytes(this, response, content);
+      exchange.sender().flush(this);
     }
   }
 
@@ -209,8 +225,11 @@
     if (splitter.feed(content) > 0) {
       recordProgress();
     }
-    exchange.flushParts();
-    if (!finished && splitter.incompleteEvent().readableBytes() > MAX_EVENT_BYTES) {
+    if (finished) {
+      return;
+    }
+    exchange.sender().flush(this);
+    if (splitter.incompleteEvent().readableBytes() > MAX_EVENT_BYTES) {
       reportLostResponse(false, "event without end");
     }
   }
@@ -236,21 +255,13 @@
 
   private void onEvent(ByteBuf event, @Nullable String id) {
     HttpResponse response = head;
-    if (response != null && !finished && isNewEvent(id)) {
-      exchange.sendPart(response, event, id);
-    }
-  }
-
-  /** Returns whether an event has no id, a higher numeric id than the last, or another text id. */
-  private boolean isNewEvent(@Nullable String id) {
-    String last = exchange.lastEventId();
-    if (id == null || last == null) {
-      return true;
+    if (response == null || finished) {
+      return;
     }
-    try {
-      return Long.parseLong(id) > Long.parseLong(last);
-    } catch (NumberFormatException e) {
-      return !id.equals(last);
+    switch (ResponseProgress.use(id, runStart, continued)) {
+      case SEND -> exchange.sender().sendEvent(this, response, event, id);
+      case SKIP -> {}
+      case UNKNOWN_PLACE -> reportNoContinuation("an event without a number as its id");
     }
   }
 
@@ -316,12 +327,13 @@
     }
   }
 
+  private void reportNoContinuation(String reason) {
+    cancel();
+    exchange.onNoContinuation(this, reason);
+  }
+
   private void reportLostResponse(boolean staleConnection, String reason) {
-    TargetCall open = call;
-    finish();
-    if (open != null) {
-      open.cancel();
-    }
+    cancel();
     exchange.onResponseLost(this, staleConnection, reason);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +48,8 @@
   private boolean bodyRefused;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
+  private boolean responseBegun;
+  private boolean responseBroken;
   private long idleSince = System.nanoTime();
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
@@ -160,12 +165,18 @@
       exchangeFinished();
       return;
     }
+    if (responseBegun) {
+      content.release();
+      breakOff("a second head in a response");
+      exchangeFinished();
+      return;
+    }
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
     HttpUtil.setContentLength(response, content.readableBytes());
     boolean close = setConnectionClose(response);
-    var written = open.writeAndFlush(response);
+    ChannelFuture written = open.writeAndFlush(response).addListener(this::onWritten);
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
@@ -178,18 +189,25 @@
     if (open == null) {
       return;
     }
+    if (responseBegun) {
+      breakOff("a second head in a response");
+      return;
+    }
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
     HttpUtil.setTransferEncodingChunked(response, true);
     setConnectionClose(response);
-    open.write(response);
+    responseBegun = true;
+    open.write(response).addListener(this::onWritten);
   }
 
   /** Writes a copy of a part of a chunked response, without a flush. */
   void writePart(ByteBuf content) {
     if (channel != null) {
-      channel.write(new DefaultHttpContent(Unpooled.copiedBuffer(content)));
+      channel
+          .write(new DefaultHttpContent(Unpooled.copiedBuffer(content)))
+          .addListener(this::onWritten);
     }
   }
 
@@ -203,7 +221,8 @@
   /** Completes a chunked response and ends the exchange. */
   void endResponse() {
     if (channel != null) {
-      var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      ChannelFuture written =
+          channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::onWritten);
       if (closeAfterResponse || server.draining()) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
@@ -217,6 +236,21 @@
     exchangeFinished();
   }
 
+  /** A response that cannot be written has no other end than that of the connection. */
+  private void onWritten(Future<? super Void> written) {
+    if (!written.isSuccess() && !(written.cause() instanceof ClosedChannelException)) {
+      breakOff("write failed: " + written.cause());
+    }
+  }
+
+  private void breakOff(String reason) {
+    if (!responseBroken) {
+      responseBroken = true;
+      context.log().write("response broken off", "reason", reason);
+      close();
+    }
+  }
+
   boolean isWritable() {
     return channel != null && channel.isWritable();
   }
@@ -233,6 +267,7 @@
   private void exchangeFinished() {
     Exchange ended = exchange;
     exchange = null;
+    responseBegun = false;
     idleSince = System.nanoTime();
     if (ended != null) {
       server.exchangeEnded(ended);
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -18,6 +18,7 @@
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.responses.ResponseProgress;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,7 +46,7 @@
   private final RequestMetadata metadata;
   private final ExchangeLog log;
   private final PartGuard partGuard;
-  private final PauseLogger pauseLogger;
+  private final ResponseSender sender;
   private final AttemptCounts counts = new AttemptCounts();
   private final Set<String> excludedTargets = new HashSet<>();
   private @Nullable Route route;
@@ -57,9 +58,7 @@
   private boolean awaitingTarget;
   private boolean awaitingState;
   private long resolvedAt;
-  private boolean responseStarted;
   private boolean finished;
-  private @Nullable String lastEventId;
 
   Exchange(
       ProxyContext context,
@@ -75,8 +74,7 @@
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
     this.partGuard = new PartGuard(context.crashes(), head, body, metadata);
-    this.pauseLogger = new PauseLogger(context, metadata.id());
-    this.lastEventId = metadata.lastEventId();
+    this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
   }
 
   void start() {
@@ -129,7 +127,7 @@
     if (choice.isPresent()) {
       awaitingTarget = false;
       send(choice.get(), chosen.engine());
-    } else if (responseStarted || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
+    } else if (progress().started() || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
@@ -148,7 +146,8 @@
     partGuard.onSent();
     long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
     var forwardingInfo =
-        new ForwardingInfo(workspace, millis, first.statement().id(), choice.path(), lastEventId);
+        new ForwardingInfo(
+            workspace, millis, first.statement().id(), choice.path(), progress().lastEventId());
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwardingInfo);
     boolean repeatable = route != null && route.repeatable();
     var estimate = RoutingState.TokenEstimate.of(metadata, model);
@@ -182,13 +181,13 @@
 
   /** Continues the response on another path if the route allows a retry. */
   private void switchPath(Attempt from, String reason) {
-    if (!counts.mayRetry(route)) {
+    if (!mayRetry()) {
       return;
     }
     if (context.faults().isSuspect(from.target().id())) {
       counts.recordDeadTarget();
     }
-    log.pathSwitched(reason, lastEventId);
+    log.pathSwitched(reason, progress().lastEventId());
     from.cancel();
     from.path().stream()
         .filter(hop -> context.faults().isSuspect(hop.id()))
@@ -238,12 +237,30 @@
       excludedTargets.add(from.target().id());
       context.faults().recordLostResponse(from.target());
     }
-    boolean retry = counts.mayRetry(route);
+    boolean retry = mayRetry();
     counts.recordPossibleRun();
     partGuard.afterLoss(
         from, retry ? this::tryNextTarget : () -> fail(HttpResponseStatus.BAD_GATEWAY, reason));
   }
 
+  /** Handles a response that cannot follow what the caller has received. */
+  void onNoContinuation(Attempt from, String reason) {
+    attempt = null;
+    log.notContinued(from.target().id(), reason, progress().lastEventId());
+    excludedTargets.add(from.target().id());
+    boolean retry = mayRetry();
+    counts.recordPossibleRun();
+    if (retry) {
+      tryNextTarget();
+    } else {
+      fail(HttpResponseStatus.BAD_GATEWAY, reason);
+    }
+  }
+
+  private boolean mayRetry() {
+    return progress().mayContinue() && counts.mayRetry(route);
+  }
+
   /** Fails a response that was partly sent to the caller and cannot be continued. */
   void onPartialResponseLost(String reason) {
     attempt = null;
@@ -254,7 +271,7 @@
   /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
   boolean retryAfterServerError(Attempt from, HttpResponse response) {
     boolean failure = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-    if (responseStarted || !failure || !counts.mayRetry(route)) {
+    if (!failure || !mayRetry()) {
       return false;
     }
     counts.recordPossibleRun();
@@ -270,54 +287,27 @@
       partGuard.onAnswered();
     }
     if (finish("answered")) {
-      caller.sendResponse(response.status(), HeaderCopies.ofResponse(response.headers()), content);
+      sender.sendWhole(response, content);
     } else {
       content.release();
     }
   }
 
-  /** Sends a part of the response; the first part is preceded by the head. */
-  void sendPart(HttpResponse response, ByteBuf content, @Nullable String eventId) {
-    if (finished) {
-      return;
-    }
-    if (!responseStarted) {
-      responseStarted = true;
-      partGuard.onAnswered();
-      context.metrics().recordFirstEvent(routeName(), System.nanoTime() - receivedAt);
-      caller.begin(response.status(), HeaderCopies.ofResponse(response.headers()));
-    }
-    if (route != null && attempt != null) {
-      pauseLogger.recordPart(eventId, route.maxPauseMillis(), counts.sentCount(), attempt.path());
-    }
-    if (eventId != null) {
-      lastEventId = eventId;
-    }
-    caller.writePart(content);
-  }
-
-  /** Flushes the parts; stops reading from the target while the caller does not read. */
-  void flushParts() {
-    if (finished) {
-      return;
-    }
-    caller.flush();
-    if (!caller.isWritable() && attempt != null) {
-      attempt.setReading(false);
-    }
-  }
-
   /** Completes the response, or sends an empty one if no part was sent. */
   void completeResponse(HttpResponse response) {
-    if (!responseStarted) {
+    if (!progress().started()) {
       sendWholeResponse(response, Unpooled.EMPTY_BUFFER);
     } else if (finish("answered")) {
-      caller.endResponse();
+      sender.end();
     }
   }
 
-  @Nullable String lastEventId() {
-    return lastEventId;
+  ResponseSender sender() {
+    return sender;
+  }
+
+  private ResponseProgress progress() {
+    return sender.progress();
   }
 
   void onCallerWritabilityChanged(boolean writable) {
@@ -365,12 +355,11 @@
 
   private void endWithStatus(
       String outcome, HttpResponseStatus status, HttpHeaders headers, String reason) {
-    boolean partlySent = responseStarted;
     if (!finish(outcome)) {
       return;
     }
     log.endedByProxy(outcome, routeName(), status, reason, counts);
-    if (partlySent) {
+    if (progress().started()) {
       caller.abort();
     } else {
       caller.sendResponse(status, headers, Unpooled.EMPTY_BUFFER);
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -38,6 +38,19 @@
     log.write("answer lost", "request", requestId, "target", target, "why", reason);
   }
 
+  void notContinued(String target, String reason, @Nullable String lastEventId) {
+    log.write(
+        "not continued",
+        "request",
+        requestId,
+        "target",
+        target,
+        "reason",
+        reason,
+        "after_event",
+        lastEventId);
+  }
+
   void retriedAfterServerError(String target, int status) {
     log.write("repeated after failure", "request", requestId, "target", target, "status", status);
   }
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -0,0 +1,93 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import org.clementinesail.core.desired.Route;
+import org.clementinesail.core.responses.ResponseProgress;
+import org.jspecify.annotations.Nullable;
+
+/** Writes the response to one request, and keeps what of it the caller was sent. */
+final class ResponseSender {
+  private final ProxyContext context;
+  private final CallerConnection caller;
+  private final PartGuard partGuard;
+  private final PauseLogger pauseLogger;
+  private final AttemptCounts counts;
+  private final long receivedAt;
+  private final ResponseProgress progress;
+
+  ResponseSender(
+      ProxyContext context,
+      CallerConnection caller,
+      PartGuard partGuard,
+      AttemptCounts counts,
+      RequestMetadata metadata,
+      long receivedAt) {
+    this.context = context;
+    this.caller = caller;
+    this.partGuard = partGuard;
+    this.counts = counts;
+    this.receivedAt = receivedAt;
+    this.pauseLogger = new PauseLogger(context, metadata.id());
+    this.progress = new ResponseProgress(metadata.lastEventId());
+  }
+
+  ResponseProgress progress() {
+    return progress;
+  }
+
+  /** Sends a response whose body is known completely; releases the body. */
+  void sendWhole(HttpResponse head, ByteBuf body) {
+    caller.sendResponse(head.status(), HeaderCopies.ofResponse(head.headers()), body);
+  }
+
+  /** Sends a whole event; the first one is preceded by the head. */
+  void sendEvent(Attempt from, HttpResponse head, ByteBuf event, @Nullable String id) {
+    begin(from, head);
+    caller.writePart(event);
+    progress.recordEvent(id);
+    recordPart(from, id);
+  }
+
+  /** Sends a part of a body that is no stream of events; the first one is preceded by the head. */
+  void sendBytes(Attempt from, HttpResponse head, ByteBuf content) {
+    begin(from, head);
+    caller.writePart(content);
+    progress.recordBytes();
+    recordPart(from, null);
+  }
+
+  private void begin(Attempt from, HttpResponse head) {
+    if (progress.started()) {
+      return;
+    }
+    caller.begin(head.status(), HeaderCopies.ofResponse(head.headers()));
+    progress.recordHead(head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+    partGuard.onAnswered();
+    Route route = from.route();
+    context
+        .metrics()
+        .recordFirstEvent(route == null ? "" : route.name(), System.nanoTime() - receivedAt);
+  }
+
+  private void recordPart(Attempt from, @Nullable String eventId) {
+    Route route = from.route();
+    if (route != null) {
+      pauseLogger.recordPart(eventId, route.maxPauseMillis(), counts.sentCount(), from.path());
+    }
+  }
+
+  /** Flushes what was sent; stops reading from the target while the caller does not read. */
+  void flush(Attempt from) {
+    caller.flush();
+    if (!caller.isWritable()) {
+      from.setReading(false);
+    }
+  }
+
+  /** Completes a response that was begun. */
+  void end() {
+    caller.endResponse();
+  }
+}
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -3,12 +3,15 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
@@ -32,7 +35,11 @@
   static final String EVENT_STREAM_HEAD =
       "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Type: text/event-stream\r\n";
 
+  /** How long tests wait for bytes; longer than the timeout of the routes. */
+  private static final int READ_TIMEOUT_MS = 3_000;
+
   private MultiThreadIoEventLoopGroup group;
+  private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
   ProxyServer proxy;
   RoutingState routing;
   EventLoop loop;
@@ -48,8 +55,10 @@
     routing =
         new RoutingState(
             new RoutingState.Settings("a", TimeUnit.HOURS.toNanos(1), 0.2, 200), new Random(1));
-    ShortHeaderDialect dialect = new ShortHeaderDialect();
-    DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
+    ShortHeaderDialect dialect = dialect();
+    logged.reset();
+    PrintStream logStream = new PrintStream(logged, true, StandardCharsets.UTF_8);
+    DecisionLog log = new DecisionLog("test", logStream);
     StartupWait startupWait = new StartupWait(System.nanoTime() - TimeUnit.SECONDS.toNanos(1));
     proxy = new ProxyServer(loop, dialect, dialect, routing, startupWait, new ProxyMetrics(), log);
     try (ServerSocket socket = new ServerSocket(0)) {
@@ -60,6 +69,16 @@
     second = new ScriptedTarget();
   }
 
+  /** Returns the header names that the proxy and the targets use. */
+  ShortHeaderDialect dialect() {
+    return new ShortHeaderDialect();
+  }
+
+  /** Returns the log lines written so far. */
+  String logged() {
+    return logged.toString(StandardCharsets.UTF_8);
+  }
+
   /** Stops the proxy, the targets and the event loop. */
   @AfterMethod
   public void stop() throws Exception {
@@ -70,6 +89,11 @@
   }
 
   private static Route route(String name, Route.Kind kind, boolean keyless, boolean resumable) {
+    return route(name, kind, keyless, resumable, 2);
+  }
+
+  private static Route route(
+      String name, Route.Kind kind, boolean keyless, boolean resumable, int maxAttempts) {
     return new Route(
         name,
         "shop",
@@ -79,7 +103,7 @@
         100,
         1,
         List.of(new Route.Split("s", 1)),
-        2,
+        maxAttempts,
         keyless,
         resumable,
         0);
@@ -93,6 +117,8 @@
                 route("safe", Route.Kind.IDEMPOTENT, true, false),
                 route("once", Route.Kind.NON_IDEMPOTENT, true, false),
                 route("stream", Route.Kind.STREAM, true, true),
+                route("stream3", Route.Kind.STREAM, true, true, 3),
+                route("single", Route.Kind.IDEMPOTENT, true, false, 1),
                 route("fragile", Route.Kind.STREAM, true, false),
                 route("keyed", Route.Kind.IDEMPOTENT, false, false)),
             List.of(new Service("s", 100, null)),
@@ -128,11 +154,61 @@
               + length
               + "\r\n"
               + body;
+      socket.setSoTimeout(READ_TIMEOUT_MS);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
   }
 
+  /**
+   * What a caller received on a connection that it keeps open.
+   *
+   * @param text all bytes
+   * @param closed whether the proxy closed the connection
+   * @param millis time until the last chunk or the close, in milliseconds
+   */
+  record Received(String text, boolean closed, long millis) {
+    /** Returns whether a chunked response has its last chunk. */
+    boolean complete() {
+      return text.endsWith("0\r\n\r\n");
+    }
+
+    /** Returns how many heads there are in the bytes. */
+    int heads() {
+      return text.split("HTTP/1.1 ", -1).length - 1;
+    }
+  }
+
+  /** Sends a POST on a connection to be kept, and reads up to the last chunk or the close. */
+  Received receive(String path, String headers) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      String request =
+          "POST " + path + " HTTP/1.1\r\nHost: shop\r\nId: r1\r\n" + headers + "Content-Length: 0";
+      socket.getOutputStream().write((request + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      return receive(socket.getInputStream());
+    }
+  }
+
+  private static Received receive(InputStream in) throws IOException {
+    long start = System.nanoTime();
+    StringBuilder text = new StringBuilder();
+    boolean closed = false;
+    try {
+      while (!text.toString().endsWith("0\r\n\r\n") && !closed) {
+        int next = in.read();
+        closed = next < 0;
+        if (!closed) {
+          text.append((char) next);
+        }
+      }
+    } catch (SocketTimeoutException e) {
+      text.append("(open, nothing more within ").append(READ_TIMEOUT_MS).append(" ms)");
+    }
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+    return new Received(text.toString(), closed, millis);
+  }
+
   static int status(String response) {
     return response.isEmpty() ? 0 : Integer.parseInt(response.substring(9, 12));
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -9,7 +9,7 @@
 import org.clementinesail.core.placement.PlacementController.Order;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
-final class ShortHeaderDialect implements Dialect, EngineDialect {
+class ShortHeaderDialect implements Dialect, EngineDialect {
   @Override
   public RequestMetadata readMetadata(HttpRequest request) {
     HttpHeaders headers = request.headers();
