Read all line ends of event streams, and what may follow the last event

A whole stream whose lines end with CR reached no caller: its events were never seen to end, and the response counted as lost or, on a route that may not be resumed, as 502. A stream with an empty line after its last event counted as broken off. A comment block, which is no event, would have counted as an event without an id.

Cause: EventSplitter knew LF and CR LF only, took any byte after the last event for the beginning of another, and read ids up to a line feed. It now follows the specification of server-sent events for CR, LF and CR LF, also where a read ends between CR and LF; a stream that is cut there ends within an event. Bytes are looked at once, instead of from the start of the event at each read. Comments and empty lines are passed on and don't count for the order of the stream.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -229,7 +229,7 @@
       return;
     }
     exchange.sender().flush(this);
-    if (splitter.incompleteEvent().readableBytes() > MAX_EVENT_BYTES) {
+    if (splitter.rest().readableBytes() > MAX_EVENT_BYTES) {
       reportLostResponse(false, "event without end");
     }
   }
@@ -253,13 +253,17 @@
     exchange.onRefused(this, response);
   }
 
-  private void onEvent(ByteBuf event, @Nullable String id) {
+  private void onEvent(EventSplitter.Event event) {
     HttpResponse response = head;
     if (response == null || finished) {
       return;
     }
-    switch (ResponseProgress.use(id, runStart, continued)) {
-      case SEND -> exchange.sender().sendEvent(this, response, event, id);
+    if (event.comment()) {
+      exchange.sender().sendComment(this, response, event.bytes());
+      return;
+    }
+    switch (ResponseProgress.use(event.id(), runStart, continued)) {
+      case SEND -> exchange.sender().sendEvent(this, response, event.bytes(), event.id());
       case SKIP -> {}
       case UNKNOWN_PLACE -> reportNoContinuation("an event without a number as its id");
     }
@@ -299,10 +303,13 @@
   }
 
   private void completeEvents(HttpResponse response) {
-    if (splitter.incompleteEvent().isReadable()) {
+    if (splitter.withinEvent()) {
       reportLostResponse(false, "stream ended within an event");
       return;
     }
+    if (splitter.rest().isReadable()) {
+      exchange.sender().sendComment(this, response, splitter.rest());
+    }
     finish();
     exchange.completeResponse(response);
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/EventSplitter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EventSplitter.java
@@ -3,21 +3,47 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Splits a server-sent event stream into complete events, so that an interrupted stream can
  * continue on another target without sending part of an event twice.
+ *
+ * <p>Lines end with CR LF, LF or CR, and an event ends with an empty line, as in the WHATWG
+ * specification of server-sent events.
  */
 final class EventSplitter {
-  private static final String ID_FIELD = "id:";
+  private static final String ID_FIELD = "id";
+  private static final char BYTE_ORDER_MARK = '\uFEFF';
+
+  /**
+   * A complete event, or a block of comments only.
+   *
+   * @param bytes the event with its empty line, and empty lines before it
+   * @param id its id, or null without one
+   * @param comment whether it has only comments, which are no event for the caller
+   */
+  record Event(ByteBuf bytes, @Nullable String id, boolean comment) {}
 
   private final ByteBuf pending = Unpooled.buffer();
-  private final BiConsumer<ByteBuf, @Nullable String> onEvent;
+  private final Consumer<Event> onEvent;
+
+  /** Number of pending bytes that have been looked at. */
+  private int scanned;
+
+  private int lineLength;
+  private boolean hasLines;
+  private boolean afterCr;
+  private boolean lastLineEndedWithCr;
+
+  /** An empty line has ended with CR after a line that ended with LF: its LF may be to come. */
+  private boolean awaitingLf;
+
+  private boolean firstEvent = true;
 
-  /** Creates a splitter that passes each complete event on with its id, or null without one. */
-  EventSplitter(BiConsumer<ByteBuf, @Nullable String> onEvent) {
+  /** Creates a splitter that passes on each complete event. */
+  EventSplitter(Consumer<Event> onEvent) {
     this.onEvent = onEvent;
   }
 
@@ -26,58 +52,92 @@
     int events = 0;
     pending.discardSomeReadBytes();
     pending.writeBytes(bytes);
-    int end = endOfEvent();
-    while (end >= 0) {
-      ByteBuf event = pending.readSlice(end - pending.readerIndex());
-      onEvent.accept(event, eventId(event));
+    int length = nextEventLength();
+    while (length >= 0) {
+      ByteBuf event = pending.readSlice(length);
+      scanned = 0;
+      lineLength = 0;
+      hasLines = false;
+      awaitingLf = false;
+      onEvent.accept(parse(event));
       events++;
-      end = endOfEvent();
+      length = nextEventLength();
     }
     return events;
   }
 
-  /** Returns the bytes after the last complete event. */
-  ByteBuf incompleteEvent() {
-    return pending;
+  /** Returns whether the bytes so far end within an event. */
+  boolean withinEvent() {
+    return hasLines || lineLength > 0;
   }
 
-  /** Discards the bytes after the last complete event. */
-  void reset() {
-    pending.clear();
+  /** Returns the bytes after the last complete event. */
+  ByteBuf rest() {
+    return pending;
   }
 
-  /** Returns the index after the next empty line, or -1 if there is none yet. */
-  private int endOfEvent() {
-    int from = pending.readerIndex();
-    int end = pending.writerIndex();
-    int lineStart = from;
-    for (int i = from; i < end; i++) {
-      if (pending.getByte(i) != '\n') {
-        continue;
+  /** Returns the length of the next event, or -1 if it is not complete yet. */
+  private int nextEventLength() {
+    int available = pending.readableBytes();
+    while (scanned < available) {
+      byte next = pending.getByte(pending.readerIndex() + scanned);
+      if (awaitingLf && next != '\n') {
+        return scanned;
       }
-      int length = i - lineStart;
-      boolean empty = length == 0 || (length == 1 && pending.getByte(lineStart) == '\r');
-      if (empty && i > from) {
-        return i + 1;
+      scanned++;
+      if (endsEvent(next)) {
+        return scanned;
       }
-      lineStart = i + 1;
     }
     return -1;
   }
 
-  private static @Nullable String eventId(ByteBuf event) {
-    String text = event.toString(StandardCharsets.UTF_8);
-    int at = 0;
+  private boolean endsEvent(byte next) {
+    boolean secondHalfOfLineEnd = next == '\n' && afterCr;
+    afterCr = next == '\r';
+    if (secondHalfOfLineEnd) {
+      lastLineEndedWithCr = false;
+      return awaitingLf;
+    }
+    if (next != '\r' && next != '\n') {
+      lineLength++;
+      return false;
+    }
+    boolean emptyLineAfterEvent = lineLength == 0 && hasLines;
+    hasLines |= lineLength > 0;
+    lineLength = 0;
+    awaitingLf = emptyLineAfterEvent && next == '\r' && !lastLineEndedWithCr;
+    lastLineEndedWithCr = next == '\r';
+    return emptyLineAfterEvent && !awaitingLf;
+  }
+
+  private Event parse(ByteBuf bytes) {
+    String text = bytes.toString(StandardCharsets.UTF_8);
+    int at = firstEvent && text.charAt(0) == BYTE_ORDER_MARK ? 1 : 0;
+    firstEvent = false;
+    String id = null;
+    boolean comment = true;
     while (at < text.length()) {
-      int end = text.indexOf('\n', at);
-      if (end < 0) {
-        end = text.length();
-      }
-      if (text.startsWith(ID_FIELD, at)) {
-        return text.substring(at + ID_FIELD.length(), end).strip();
+      int end = lineEnd(text, at);
+      if (end > at && text.charAt(at) != ':') {
+        comment = false;
+        int colon = text.indexOf(':', at);
+        boolean named = colon >= 0 && colon < end;
+        if (text.substring(at, named ? colon : end).equals(ID_FIELD)) {
+          id = named ? text.substring(colon + 1, end).strip() : "";
+        }
       }
       at = end + 1;
     }
-    return null;
+    return new Event(bytes, id == null || id.isEmpty() ? null : id, comment);
+  }
+
+  private static int lineEnd(String text, int from) {
+    for (int i = from; i < text.length(); i++) {
+      if (text.charAt(i) == '\n' || text.charAt(i) == '\r') {
+        return i;
+      }
+    }
+    return text.length();
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -50,6 +50,12 @@
     recordPart(from, id);
   }
 
+  /** Sends comments or empty lines of a stream, which may come twice. */
+  void sendComment(Attempt from, HttpResponse head, ByteBuf comment) {
+    begin(from, head);
+    caller.writePart(comment);
+  }
+
   /** Sends a part of a body that is no stream of events; the first one is preceded by the head. */
   void sendBytes(Attempt from, HttpResponse head, ByteBuf content) {
     begin(from, head);
