Count servers, not resets of kept connections, against max_attempts

Cause: a reset of a kept connection was recorded as a dead server, and each of two dead servers added an attempt elsewhere. The server had not ended, and it may have run the request. Now a repeatable request whose kept connection turned out stale is sent once more to the same server, on a new connection, as long as that server takes requests; AttemptCounts counts the servers that may have run the request. Only a server that then can't be reached, or that is suspect when a stream is moved off it, makes room for another. A refusal after a lost run ends the request if no further server is allowed. AttemptFailures takes over from Exchange what follows a failed attempt.

RetryLimitTest on the code before: 2 of 5 cases failed: max_attempts 1: "arrivals by target: [2, 0, 0, 1, 0]", max_attempts 2: "[1, 1, 0, 0, 2]"; the resend to the same server passed by chance, as it was the nearest. After: 0 of 5. AttemptCountsTest (new) plays 1,000 orders of failures for each of four limits.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -250,7 +250,7 @@
   private void endRefusal() {
     HttpResponse response = Objects.requireNonNull(head);
     cancel();
-    exchange.onRefused(this, response);
+    exchange.failures().onRefused(this, response);
   }
 
   private void onEvent(EventSplitter.Event event) {
@@ -278,7 +278,7 @@
     switch (mode) {
       case REFUSED -> {
         finish();
-        exchange.onRefused(this, response);
+        exchange.failures().onRefused(this, response);
       }
       case BUFFERED -> completeBuffered(response);
       case EVENTS -> completeEvents(response);
@@ -295,7 +295,7 @@
     finish();
     if (buffered == null) {
       exchange.completeResponse(response);
-    } else if (exchange.retryAfterServerError(this, response)) {
+    } else if (exchange.failures().retryAfterServerError(this, response)) {
       buffered.release();
     } else {
       exchange.sendWholeResponse(response, buffered);
@@ -322,13 +322,13 @@
     if (mode == Mode.REFUSED && head != null) {
       // The status alone guarantees that the request has not run.
       finish();
-      exchange.onRefused(this, head);
+      exchange.failures().onRefused(this, head);
     } else if (mode == Mode.PASSED_ON) {
       finish();
-      exchange.onPartialResponseLost(reason);
+      exchange.failures().onPartialResponseLost(this, reason);
     } else if (kind == FailureKind.NOT_SENT) {
       finish();
-      exchange.onNotSent(this, reason);
+      exchange.failures().onNotSent(this, reason);
     } else {
       reportLostResponse(kind == FailureKind.STALE_CONNECTION, reason);
     }
@@ -336,11 +336,11 @@
 
   private void reportNoContinuation(String reason) {
     cancel();
-    exchange.onNoContinuation(this, reason);
+    exchange.failures().onNoContinuation(this, reason);
   }
 
   private void reportLostResponse(boolean staleConnection, String reason) {
     cancel();
-    exchange.onResponseLost(this, staleConnection, reason);
+    exchange.failures().onResponseLost(this, staleConnection, reason);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
@@ -1,5 +1,7 @@
 package org.clementinesail.server.proxy;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.clementinesail.core.desired.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -14,7 +16,9 @@
   private int sentTotal;
   private int refusals;
   private int possibleRuns;
-  private int deadTargets;
+  private final Set<String> targets = new HashSet<>();
+  private final Set<String> deadTargets = new HashSet<>();
+  private final Set<String> resentTo = new HashSet<>();
 
   /** Records the start of an attempt, even if nothing is sent in the end. */
   void recordSent() {
@@ -27,13 +31,19 @@
   }
 
   /** Records that a target may have run the request. */
-  void recordPossibleRun() {
+  void recordPossibleRun(String target) {
     possibleRuns++;
+    targets.add(target);
   }
 
-  /** Records that a target died during an attempt, or that a stale connection failed. */
-  void recordDeadTarget() {
-    deadTargets++;
+  /** Records that a target ended, or cannot be reached any more, after it got the request. */
+  void recordDeadTarget(String target) {
+    deadTargets.add(target);
+  }
+
+  /** Records that the request is sent once more to a target that it may have run on. */
+  void recordResend(String target) {
+    resentTo.add(target);
   }
 
   int sentCount() {
@@ -49,15 +59,40 @@
     return possibleRuns == 0;
   }
 
+  /** Returns whether the request may have run on a target. */
+  boolean mayHaveRunOn(String target) {
+    return targets.contains(target);
+  }
+
   /** Returns whether the request has been refused too often to try another target. */
   boolean refusalLimitReached() {
     return refusals >= MAX_REFUSALS;
   }
 
-  /** Returns whether the request may be sent again after the current attempt fails. */
-  boolean mayRetry(@Nullable Route route) {
-    return route != null
-        && route.repeatable()
-        && possibleRuns + 1 < route.maxAttempts() + Math.min(deadTargets, MAX_EXTRA_ATTEMPTS);
+  /** Returns whether another target may get the request if the current one has failed. */
+  boolean mayRetry(@Nullable Route route, String currentTarget) {
+    int count = targets.size() + (targets.contains(currentTarget) ? 0 : 1);
+    return mayRunAgain(route, count, possibleRuns + 1);
+  }
+
+  /** Returns whether another target may get the request after all that was recorded. */
+  boolean mayTryAnother(@Nullable Route route) {
+    return certainlyNotRun() || mayRunAgain(route, targets.size(), possibleRuns);
+  }
+
+  /**
+   * Returns whether a target may get the request a second time, because it closed a connection that
+   * was kept open before it answered anything.
+   */
+  boolean mayResend(@Nullable Route route, String target) {
+    return route != null && route.repeatable() && !resentTo.contains(target);
+  }
+
+  private boolean mayRunAgain(@Nullable Route route, int targetCount, int runs) {
+    if (route == null || !route.repeatable()) {
+      return false;
+    }
+    int limit = route.maxAttempts() + Math.min(deadTargets.size(), MAX_EXTRA_ATTEMPTS);
+    return targetCount < limit && runs - resentTo.size() < limit;
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -0,0 +1,136 @@
+package org.clementinesail.server.proxy;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Optional;
+import java.util.Set;
+
+/** Decides what follows when an attempt of a request has failed. */
+final class AttemptFailures {
+  private final Exchange exchange;
+  private final ProxyContext context;
+  private final AttemptCounts counts;
+  private final Set<String> excludedTargets;
+  private final PartGuard partGuard;
+  private final ExchangeLog log;
+
+  AttemptFailures(
+      Exchange exchange,
+      ProxyContext context,
+      AttemptCounts counts,
+      Set<String> excludedTargets,
+      PartGuard partGuard,
+      ExchangeLog log) {
+    this.exchange = exchange;
+    this.context = context;
+    this.counts = counts;
+    this.excludedTargets = excludedTargets;
+    this.partGuard = partGuard;
+    this.log = log;
+  }
+
+  /** Handles a refusal: the target has not run the request and never will. */
+  void onRefused(Attempt from, HttpResponse response) {
+    exchange.endAttempt();
+    Optional<String> faulty = context.dialect().faultyAddress(response);
+    faulty.ifPresent(
+        address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
+    if (faulty.isEmpty() || from.path().isEmpty()) {
+      excludedTargets.add(from.target().id());
+    }
+    log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
+    retryAfterRefusal("targets refused the request");
+  }
+
+  /** Handles a failed connection: nothing of the request reached the target. */
+  void onNotSent(Attempt from, String reason) {
+    exchange.endAttempt();
+    String target = from.target().id();
+    if (counts.mayHaveRunOn(target)) {
+      counts.recordDeadTarget(target);
+    }
+    context.faults().markSuspect(from.target().address(), reason);
+    excludedTargets.add(target);
+    retryAfterRefusal("no target could be reached");
+  }
+
+  private void retryAfterRefusal(String reason) {
+    counts.recordRefusal();
+    if (counts.refusalLimitReached()) {
+      exchange.giveUp(reason);
+    } else {
+      tryAnother(reason);
+    }
+  }
+
+  private void tryAnother(String reason) {
+    if (exchange.mayTryAnother()) {
+      exchange.tryNextTarget();
+    } else {
+      exchange.giveUp(reason);
+    }
+  }
+
+  /** Handles an incomplete or unauthenticated response: the request may have run. */
+  void onResponseLost(Attempt from, boolean staleConnection, String reason) {
+    exchange.endAttempt();
+    String target = from.target().id();
+    log.responseLost(target, reason);
+    if (staleConnection && exchange.mayResend(from)) {
+      counts.recordPossibleRun(target);
+      partGuard.afterLoss(from, () -> resend(from, reason));
+      return;
+    }
+    excludedTargets.add(target);
+    if (!staleConnection) {
+      context.faults().recordLostResponse(from.target());
+    }
+    boolean retry = exchange.mayRetry(from);
+    counts.recordPossibleRun(target);
+    partGuard.afterLoss(
+        from,
+        retry
+            ? exchange::tryNextTarget
+            : () -> exchange.fail(HttpResponseStatus.BAD_GATEWAY, reason));
+  }
+
+  private void resend(Attempt from, String reason) {
+    if (!exchange.resend(from)) {
+      excludedTargets.add(from.target().id());
+      tryAnother(reason);
+    }
+  }
+
+  /** Handles a response that cannot follow what the caller has received. */
+  void onNoContinuation(Attempt from, String reason) {
+    exchange.endAttempt();
+    String target = from.target().id();
+    log.notContinued(target, reason, exchange.sender().progress().lastEventId());
+    excludedTargets.add(target);
+    counts.recordPossibleRun(target);
+    tryAnother(reason);
+  }
+
+  /** Fails a response that was partly sent to the caller and cannot be continued. */
+  void onPartialResponseLost(Attempt from, String reason) {
+    exchange.endAttempt();
+    counts.recordPossibleRun(from.target().id());
+    exchange.fail(HttpResponseStatus.BAD_GATEWAY, reason);
+  }
+
+  /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
+  boolean retryAfterServerError(Attempt from, HttpResponse response) {
+    boolean failure = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+    if (!failure || !exchange.mayRetry(from)) {
+      return false;
+    }
+    String target = from.target().id();
+    counts.recordPossibleRun(target);
+    excludedTargets.add(target);
+    exchange.endAttempt();
+    log.retriedAfterServerError(target, response.status().code());
+    exchange.tryNextTarget();
+    return true;
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
@@ -47,6 +46,7 @@
   private final ExchangeLog log;
   private final PartGuard partGuard;
   private final ResponseSender sender;
+  private final AttemptFailures failures;
   private final AttemptCounts counts = new AttemptCounts();
   private final Set<String> excludedTargets = new HashSet<>();
   private @Nullable Route route;
@@ -75,6 +75,7 @@
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
     this.partGuard = new PartGuard(context.crashes(), head, body, metadata);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
+    this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
   }
 
   void start() {
@@ -112,7 +113,7 @@
   }
 
   /** Sends the request to a target, waits until one is available, or ends the request. */
-  private void tryNextTarget() {
+  void tryNextTarget() {
     Service chosen = service;
     if (finished || chosen == null) {
       return;
@@ -126,7 +127,8 @@
     var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
     if (choice.isPresent()) {
       awaitingTarget = false;
-      send(choice.get(), chosen.engine());
+      boolean repeatable = route != null && route.repeatable();
+      send(choice.get(), chosen.engine(), repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS);
     } else if (progress().started() || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
       awaitingTarget = true;
       excludedTargets.clear();
@@ -135,7 +137,8 @@
     }
   }
 
-  private void send(RoutingState.Destination choice, @Nullable EngineModel model) {
+  private void send(
+      RoutingState.Destination choice, @Nullable EngineModel model, long maxIdleNanos) {
     Fleet.Member first = choice.firstTarget();
     String name = first.statement().service();
     if (counts.sentCount() > 0 && !context.routing().retryBudget(name).tryAcquireRetry()) {
@@ -149,11 +152,10 @@
         new ForwardingInfo(
             workspace, millis, first.statement().id(), choice.path(), progress().lastEventId());
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwardingInfo);
-    boolean repeatable = route != null && route.repeatable();
     var estimate = RoutingState.TokenEstimate.of(metadata, model);
     Attempt next = new Attempt(this, context, first.statement(), choice.path(), route, model);
     attempt = next;
-    next.start(request, metadata.id(), repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS, estimate);
+    next.start(request, metadata.id(), maxIdleNanos, estimate);
   }
 
   /** Tries again to start a waiting request; switches a stalled response to another path. */
@@ -181,104 +183,62 @@
 
   /** Continues the response on another path if the route allows a retry. */
   private void switchPath(Attempt from, String reason) {
-    if (!mayRetry()) {
+    if (!mayRetry(from)) {
       return;
     }
     if (context.faults().isSuspect(from.target().id())) {
-      counts.recordDeadTarget();
+      counts.recordDeadTarget(from.target().id());
     }
     log.pathSwitched(reason, progress().lastEventId());
     from.cancel();
     from.path().stream()
         .filter(hop -> context.faults().isSuspect(hop.id()))
         .forEach(hop -> excludedTargets.add(hop.id()));
-    counts.recordPossibleRun();
+    counts.recordPossibleRun(from.target().id());
     attempt = null;
     tryNextTarget();
   }
 
-  /** Handles a refusal: the target has not run the request and never will. */
-  void onRefused(Attempt from, HttpResponse response) {
+  /** Forgets the current attempt, which has ended. */
+  void endAttempt() {
     attempt = null;
-    Optional<String> faulty = context.dialect().faultyAddress(response);
-    faulty.ifPresent(
-        address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
-    if (faulty.isEmpty() || from.path().isEmpty()) {
-      excludedTargets.add(from.target().id());
-    }
-    log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal("targets refused the request");
   }
 
-  /** Handles a failed connection: nothing of the request reached the target. */
-  void onNotSent(Attempt from, String reason) {
-    attempt = null;
-    context.faults().markSuspect(from.target().address(), reason);
-    excludedTargets.add(from.target().id());
-    retryAfterRefusal("no target could be reached");
+  /** Returns whether another target may get the request if an attempt is given up. */
+  boolean mayRetry(Attempt from) {
+    return progress().mayContinue() && counts.mayRetry(route, from.target().id());
   }
 
-  private void retryAfterRefusal(String reason) {
-    counts.recordRefusal();
-    if (counts.refusalLimitReached()) {
-      giveUp(reason, RETRY_AFTER_SECONDS);
-    } else {
-      tryNextTarget();
-    }
+  /** Returns whether another target may get the request after all attempts that have failed. */
+  boolean mayTryAnother() {
+    return progress().mayContinue() && counts.mayTryAnother(route);
   }
 
-  /** Handles an incomplete or unauthenticated response: the request may have run. */
-  void onResponseLost(Attempt from, boolean staleConnection, String reason) {
-    attempt = null;
-    log.responseLost(from.target().id(), reason);
-    if (staleConnection) {
-      counts.recordDeadTarget();
-    } else {
-      excludedTargets.add(from.target().id());
-      context.faults().recordLostResponse(from.target());
-    }
-    boolean retry = mayRetry();
-    counts.recordPossibleRun();
-    partGuard.afterLoss(
-        from, retry ? this::tryNextTarget : () -> fail(HttpResponseStatus.BAD_GATEWAY, reason));
+  /** Returns whether the target of a failed attempt may get the request again. */
+  boolean mayResend(Attempt from) {
+    return progress().mayContinue() && counts.mayResend(route, from.target().id());
   }
 
-  /** Handles a response that cannot follow what the caller has received. */
-  void onNoContinuation(Attempt from, String reason) {
-    attempt = null;
-    log.notContinued(from.target().id(), reason, progress().lastEventId());
-    excludedTargets.add(from.target().id());
-    boolean retry = mayRetry();
-    counts.recordPossibleRun();
-    if (retry) {
-      tryNextTarget();
-    } else {
-      fail(HttpResponseStatus.BAD_GATEWAY, reason);
+  /**
+   * Sends the request again to the target of a failed attempt, on a new connection; returns false
+   * if the target accepts no requests now.
+   */
+  boolean resend(Attempt from) {
+    Service chosen = service;
+    if (finished || chosen == null) {
+      return true;
     }
-  }
-
-  private boolean mayRetry() {
-    return progress().mayContinue() && counts.mayRetry(route);
-  }
-
-  /** Fails a response that was partly sent to the caller and cannot be continued. */
-  void onPartialResponseLost(String reason) {
-    attempt = null;
-    counts.recordPossibleRun();
-    fail(HttpResponseStatus.BAD_GATEWAY, reason);
-  }
-
-  /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
-  boolean retryAfterServerError(Attempt from, HttpResponse response) {
-    boolean failure = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-    if (!failure || !mayRetry()) {
+    long now = System.nanoTime();
+    String id = from.target().id();
+    Optional<Fleet.Member> target =
+        context.routing().fleet().ready(chosen.name(), now).stream()
+            .filter(member -> member.statement().id().equals(id) && !member.isSuspect(now))
+            .findFirst();
+    if (target.isEmpty() || partGuard.refusedSeconds(now).isPresent()) {
       return false;
     }
-    counts.recordPossibleRun();
-    excludedTargets.add(from.target().id());
-    attempt = null;
-    log.retriedAfterServerError(from.target().id(), response.status().code());
-    tryNextTarget();
+    counts.recordResend(id);
+    send(new RoutingState.Destination(target.get(), from.path()), chosen.engine(), 0);
     return true;
   }
 
@@ -302,6 +262,10 @@
     }
   }
 
+  AttemptFailures failures() {
+    return failures;
+  }
+
   ResponseSender sender() {
     return sender;
   }
@@ -333,6 +297,11 @@
     }
   }
 
+  /** Ends the request after its attempts have failed. */
+  void giveUp(String reason) {
+    giveUp(reason, RETRY_AFTER_SECONDS);
+  }
+
   /** Ends the request: 503 with Retry-After if it has certainly not run, else 502. */
   private void giveUp(String reason, double retryAfterSeconds) {
     if (counts.certainlyNotRun()) {
@@ -349,7 +318,7 @@
     endWithStatus("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
-  private void fail(HttpResponseStatus status, String reason) {
+  void fail(HttpResponseStatus status, String reason) {
     endWithStatus("failed", status, HeaderCopies.empty(), reason);
   }
 
