End a request on whose way an exception is thrown, with an answer or a closed connection

A request got no answer and stayed in progress if anything threw while its response was handled: a header that Netty's encoder refuses, a dialect that can't read a head, an error while a refusal is built. Callers waited until they left; some connections ended without a line in the log.

Cause: an exchange counted as finished, with its timer cancelled, before its answer was handed over, so an exception in between left nobody to end it; exceptions went to the handler of the target's connection, to a task of the event loop, or to a timer, none of which knows the request. Each entry to an exchange (start, timer, progress, events of an attempt) now runs in Exchange.guard, which logs "internal error" and ends the request: 502 if no response has begun, else the end of the connection. Finishing follows handing over.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -155,9 +155,12 @@
 
   @Override
   public void onHead(HttpResponse response) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptHead(response));
     }
+  }
+
+  private void acceptHead(HttpResponse response) {
     head = response;
     lastProgressAt = System.nanoTime();
     boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
@@ -190,9 +193,12 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptContent(content));
     }
+  }
+
+  private void acceptContent(ByteBuf content) {
     HttpResponse response = head;
     ByteBuf buffered = buffer;
     if (mode == Mode.EVENTS) {
@@ -272,9 +278,12 @@
   @Override
   public void onComplete() {
     HttpResponse response = head;
-    if (finished || response == null) {
-      return;
+    if (!finished && response != null) {
+      exchange.guard(() -> complete(response));
     }
+  }
+
+  private void complete(HttpResponse response) {
     switch (mode) {
       case REFUSED -> {
         finish();
@@ -316,9 +325,12 @@
 
   @Override
   public void onFailure(FailureKind kind, String reason) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptFailure(kind, reason));
     }
+  }
+
+  private void acceptFailure(FailureKind kind, String reason) {
     if (mode == Mode.REFUSED && head != null) {
       // The status alone guarantees that the request has not run.
       finish();
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -79,7 +79,7 @@
     log.responseLost(target, reason);
     if (staleConnection && exchange.mayResend(from)) {
       counts.recordPossibleRun(target);
-      partGuard.afterLoss(from, () -> resend(from, reason));
+      partGuard.afterLoss(from, () -> exchange.guard(() -> resend(from, reason)));
       return;
     }
     excludedTargets.add(target);
@@ -88,11 +88,11 @@
     }
     boolean retry = exchange.mayRetry(from);
     counts.recordPossibleRun(target);
-    partGuard.afterLoss(
-        from,
+    Runnable next =
         retry
             ? exchange::tryNextTarget
-            : () -> exchange.fail(HttpResponseStatus.BAD_GATEWAY, reason));
+            : () -> exchange.fail(HttpResponseStatus.BAD_GATEWAY, reason);
+    partGuard.afterLoss(from, () -> exchange.guard(next));
   }
 
   private void resend(Attempt from, String reason) {
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -123,11 +124,18 @@
     }
     ReceivedRequest received = waiting.removeFirst();
     closeAfterResponse = !HttpUtil.isKeepAlive(received.head());
-    Exchange started =
-        new Exchange(context, this, received.head(), received.body(), received.receivedAt());
+    Exchange started;
+    try {
+      started =
+          new Exchange(context, this, received.head(), received.body(), received.receivedAt());
+    } catch (RuntimeException e) {
+      received.body().release();
+      breakOff("internal error: " + e);
+      return;
+    }
     exchange = started;
     server.exchangeStarted(started);
-    started.start();
+    started.guard(started::start);
   }
 
   private void refuseUnreadable(Throwable cause) {
@@ -236,6 +244,13 @@
     exchangeFinished();
   }
 
+  /** Aborts an exchange whose response was not handed over. */
+  void abortIfCurrent(Exchange ended) {
+    if (exchange == ended) {
+      abort();
+    }
+  }
+
   /** A response that cannot be written has no other end than that of the connection. */
   private void onWritten(Future<? super Void> written) {
     if (!written.isSuccess() && !(written.cause() instanceof ClosedChannelException)) {
@@ -246,7 +261,8 @@
   private void breakOff(String reason) {
     if (!responseBroken) {
       responseBroken = true;
-      context.log().write("response broken off", "reason", reason);
+      String id = exchange == null ? "" : exchange.requestId();
+      context.log().write("response broken off", "request", id, "reason", reason);
       close();
     }
   }
@@ -318,6 +334,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
-    handlerContext.close();
+    if (cause instanceof IOException) {
+      handlerContext.close();
+    } else {
+      breakOff("internal error: " + cause);
+    }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -108,7 +108,10 @@
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
     timer =
-        context.loop().schedule(this::expire, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+        context
+            .loop()
+            .schedule(
+                () -> guard(this::expire), deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
   }
 
@@ -242,23 +245,24 @@
     return true;
   }
 
+  /** Sends a response whose body is known completely; releases the body. */
   void sendWholeResponse(HttpResponse response, ByteBuf content) {
-    if (!finished) {
-      partGuard.onAnswered();
-    }
-    if (finish("answered")) {
-      sender.sendWhole(response, content);
-    } else {
+    if (finished) {
       content.release();
+      return;
     }
+    partGuard.onAnswered();
+    sender.sendWhole(response, content);
+    finish("answered");
   }
 
   /** Completes the response, or sends an empty one if no part was sent. */
   void completeResponse(HttpResponse response) {
     if (!progress().started()) {
       sendWholeResponse(response, Unpooled.EMPTY_BUFFER);
-    } else if (finish("answered")) {
+    } else if (!finished) {
       sender.end();
+      finish("answered");
     }
   }
 
@@ -324,7 +328,7 @@
 
   private void endWithStatus(
       String outcome, HttpResponseStatus status, HttpHeaders headers, String reason) {
-    if (!finish(outcome)) {
+    if (finished) {
       return;
     }
     log.endedByProxy(outcome, routeName(), status, reason, counts);
@@ -333,6 +337,28 @@
     } else {
       caller.sendResponse(status, headers, Unpooled.EMPTY_BUFFER);
     }
+    finish(outcome);
+  }
+
+  /** Runs a step of the request; an exception ends the request instead of leaving it open. */
+  void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      log.stepFailed(e);
+      endAfterError();
+    }
+  }
+
+  private void endAfterError() {
+    try {
+      fail(HttpResponseStatus.BAD_GATEWAY, "internal error");
+    } catch (RuntimeException e) {
+      log.stepFailed(e);
+    } finally {
+      caller.abortIfCurrent(this);
+      finish("failed");
+    }
   }
 
   private boolean finish(String outcome) {
@@ -352,6 +378,10 @@
     return true;
   }
 
+  String requestId() {
+    return metadata.id();
+  }
+
   private String routeName() {
     return route == null ? "" : route.name();
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -55,6 +55,21 @@
     log.write("repeated after failure", "request", requestId, "target", target, "status", status);
   }
 
+  /** Logs an exception on the way of a request or its response. */
+  void stepFailed(RuntimeException error) {
+    StackTraceElement[] trace = error.getStackTrace();
+    log.write(
+        "internal error",
+        "request",
+        requestId,
+        "error",
+        error.toString(),
+        "at",
+        trace.length == 0 ? "" : trace[0].toString(),
+        "after_ms",
+        ageMillis());
+  }
+
   void callerDisconnected() {
     log.write("caller left", "request", requestId, "after_ms", ageMillis());
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -177,7 +177,7 @@
   private void checkProgress() {
     long now = System.nanoTime();
     for (Exchange exchange : List.copyOf(exchanges)) {
-      exchange.checkProgress(now);
+      exchange.guard(() -> exchange.checkProgress(now));
     }
   }
 
