Keep a stalled attempt open beside the one that is to replace it

Callers saw: a stream whose engine was silent for about a second, to probes too, ended with a closed connection, or with 502 before its first event, although the engine went on and its answer was sound.

Cause: Exchange.switchPath cancelled the attempt on the silent engine first, and only then looked for a path and took a retry from the budget. Without one, or when the new attempt was refused or lost, the exchange gave up. All streams on a silent engine stall together, so that the budget is empty for most of them.

Now a path and a retry are secured before anything changes, and the stalled attempt stays open beside the new one (StalledAttempt). The first of the two that goes on is kept and the other one cancelled; if one fails, the other one is the current one. A response other than a stream, a part of which has been passed on, is not continued by another attempt.

--- a/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
+++ b/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
@@ -40,9 +40,14 @@
     availableRetries = Math.min(maxRetries, availableRetries + retriesPerRequest);
   }
 
+  /** Returns whether a retry is available. */
+  public boolean hasRetry() {
+    return availableRetries >= 1;
+  }
+
   /** Takes a retry from the budget; returns false if fewer than one is available. */
   public boolean tryAcquireRetry() {
-    if (availableRetries < 1) {
+    if (!hasRetry()) {
       return false;
     }
     availableRetries -= 1;
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -30,6 +30,9 @@
   /** Longest time for the body of a refusal; the status alone says that nothing has run. */
   private static final long MAX_REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  /** Unrepeatable requests reuse no connection that is idle for longer: it may be stale. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   /** Initial value of the usual pause, which applies while the target reads the prompt. */
   private static final long INITIAL_USUAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -69,14 +72,13 @@
   Attempt(
       Exchange exchange,
       ProxyContext context,
-      TargetStatement target,
-      List<Hop> path,
+      RoutingState.Destination destination,
       @Nullable Route route,
       @Nullable EngineModel model) {
     this.exchange = exchange;
     this.context = context;
-    this.target = target;
-    this.path = path;
+    this.target = destination.firstTarget().statement();
+    this.path = destination.path();
     this.route = route;
     this.model = model;
   }
@@ -94,27 +96,32 @@
     return sentAt;
   }
 
-  /** Returns the {@link System#nanoTime} of the last data from the target, or of the creation. */
-  long lastProgressAt() {
-    return lastProgressAt;
-  }
-
-  /** Returns the moving average of the pauses between parts of the response, in nanoseconds. */
-  long usualPauseNanos() {
-    return usualPauseNanos;
+  /**
+   * Returns whether the response has stalled at a suspect engine and may be continued by another
+   * attempt; a response other than a stream may not once a part of it has been passed on.
+   */
+  boolean hasStalled(long now) {
+    return !path.isEmpty()
+        && mode != Mode.PASSED_ON
+        && context.faults().shouldSwitchPath(path, now - lastProgressAt, usualPauseNanos);
   }
 
-  void start(
-      FullHttpRequest request,
-      String requestId,
-      long maxIdleNanos,
-      RoutingState.TokenEstimate estimate) {
+  void start(FullHttpRequest request, RequestMetadata metadata) {
+    var estimate = RoutingState.TokenEstimate.of(metadata, model);
+    boolean repeatable = route != null && route.repeatable();
     assignments =
         model == null || path.isEmpty()
             ? List.of(context.routing().ownLoad().assign(target.id(), 0, System.nanoTime()))
             : context.routing().recordAssignment(path, model, estimate);
     TargetCall started =
-        context.targetPool().send(target.address(), requestId, request, maxIdleNanos, this);
+        context
+            .targetPool()
+            .send(
+                target.address(),
+                metadata.id(),
+                request,
+                repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS,
+                this);
     call = started;
     if (finished) {
       started.cancel();
@@ -193,6 +200,7 @@
       buffered.writeBytes(content);
       if (buffered.readableBytes() > MAX_BUFFERED_BYTES && response != null) {
         mode = Mode.PASSED_ON;
+        exchange.onProgress(this);
         exchange.sendPart(response, buffered, null);
         buffered.release();
         buffer = null;
@@ -237,6 +245,7 @@
   private void onEvent(ByteBuf event, @Nullable String id) {
     HttpResponse response = head;
     if (response != null && !finished && isNewEvent(id)) {
+      exchange.onProgress(this);
       exchange.sendPart(response, event, id);
     }
   }
@@ -269,6 +278,7 @@
       case EVENTS -> completeEvents(response);
       case PASSED_ON, AWAITING_HEAD -> {
         finish();
+        exchange.onProgress(this);
         exchange.completeResponse(response);
       }
     }
@@ -279,10 +289,12 @@
     buffer = null;
     finish();
     if (buffered == null) {
+      exchange.onProgress(this);
       exchange.completeResponse(response);
     } else if (exchange.retryAfterServerError(this, response)) {
       buffered.release();
     } else {
+      exchange.onProgress(this);
       exchange.sendWholeResponse(response, buffered);
     }
   }
@@ -293,6 +305,7 @@
       return;
     }
     finish();
+    exchange.onProgress(this);
     exchange.completeResponse(response);
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
@@ -31,6 +31,11 @@
     possibleRuns++;
   }
 
+  /** Takes back a possible run: a target refused the request after all. */
+  void removePossibleRun() {
+    possibleRuns--;
+  }
+
   /** Records that a target died during an attempt, or that a stale connection failed. */
   void recordDeadTarget() {
     deadTargets++;
@@ -54,6 +59,11 @@
     return refusals >= MAX_REFUSALS;
   }
 
+  /** Returns whether the request may be sent to another target beside the current attempt. */
+  boolean mayTryBeside(@Nullable Route route) {
+    return !refusalLimitReached() && mayRetry(route);
+  }
+
   /** Returns whether the request may be sent again after the current attempt fails. */
   boolean mayRetry(@Nullable Route route) {
     return route != null
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -122,7 +122,7 @@
         new Exchange(context, this, received.head(), received.body(), received.receivedAt());
     exchange = started;
     server.exchangeStarted(started);
-    started.start();
+    started.start(System.nanoTime());
   }
 
   private void refuseUnreadable(Throwable cause) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -17,7 +17,7 @@
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
-import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.limits.RetryBudget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,15 +28,6 @@
   /** How long a request may wait for a target before it is refused with Retry-After. */
   private static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  /** Unrepeatable requests reuse no connection that is idle for longer: it may be stale. */
-  private static final long MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-  /** Retry-After is 1 to 2 times this: about the time for streams to end and engines to return. */
-  private static final double RETRY_AFTER_SECONDS = 1.5;
-
-  /** The same while a VM knows no desired state yet, because it has just started. */
-  private static final double STARTUP_RETRY_AFTER_SECONDS = 2.5;
-
   private final ProxyContext context;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -47,6 +38,7 @@
   private final PartGuard partGuard;
   private final PauseLogger pauseLogger;
   private final AttemptCounts counts = new AttemptCounts();
+  private final StalledAttempt stalled = new StalledAttempt(counts);
   private final Set<String> excludedTargets = new HashSet<>();
   private @Nullable Route route;
   private @Nullable Service service;
@@ -79,11 +71,8 @@
     this.lastEventId = metadata.lastEventId();
   }
 
-  void start() {
-    resolve(System.nanoTime());
-  }
-
-  private void resolve(long now) {
+  /** Starts the request, or tries again to start it while no desired state is known. */
+  void start(long now) {
     var resolution = RequestResolver.resolve(context.routing(), metadata, head.uri());
     if (resolution instanceof RequestResolver.Resolved resolved) {
       start(resolved);
@@ -92,7 +81,7 @@
     } else {
       awaitingState = context.startupWait().mayWait(now, receivedAt, metadata.timeoutMillis());
       if (!awaitingState) {
-        refuse("no desired state is known yet", STARTUP_RETRY_AFTER_SECONDS);
+        refuse("no desired state is known yet", RetryAfter.STARTUP_SECONDS);
       }
     }
   }
@@ -104,7 +93,7 @@
     service = resolved.service();
     workspace = resolved.workspace();
     partGuard.resolved(resolved.service(), resolved.workspace());
-    context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
+    context.routing().retryBudget(resolved.service()).recordFirstAttempt();
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -128,79 +117,83 @@
     var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
     if (choice.isPresent()) {
       awaitingTarget = false;
-      send(choice.get(), chosen.engine());
+      if (counts.sentCount() == 0 || context.routing().retryBudget(chosen).tryAcquireRetry()) {
+        send(choice.get(), chosen.engine());
+      } else {
+        giveUp("the retry budget is used up", RetryAfter.SECONDS);
+      }
     } else if (responseStarted || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
-      giveUp("no target is available", RETRY_AFTER_SECONDS);
+      giveUp("no target is available", RetryAfter.SECONDS);
     }
   }
 
   private void send(RoutingState.Destination choice, @Nullable EngineModel model) {
-    Fleet.Member first = choice.firstTarget();
-    String name = first.statement().service();
-    if (counts.sentCount() > 0 && !context.routing().retryBudget(name).tryAcquireRetry()) {
-      giveUp("the retry budget is used up", RETRY_AFTER_SECONDS);
-      return;
-    }
     counts.recordSent();
     partGuard.onSent();
-    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
-    var forwardingInfo =
-        new ForwardingInfo(workspace, millis, first.statement().id(), choice.path(), lastEventId);
-    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwardingInfo);
-    boolean repeatable = route != null && route.repeatable();
-    var estimate = RoutingState.TokenEstimate.of(metadata, model);
-    Attempt next = new Attempt(this, context, first.statement(), choice.path(), route, model);
+    ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, lastEventId);
+    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, info);
+    Attempt next = new Attempt(this, context, choice, route, model);
     attempt = next;
-    next.start(request, metadata.id(), repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS, estimate);
+    next.start(request, metadata);
   }
 
-  /** Tries again to start a waiting request; switches a stalled response to another path. */
+  /** Tries again to start a waiting request; tries another path beside a stalled response. */
   void checkProgress(long now) {
     Attempt current = attempt;
     if (finished) {
       return;
     } else if (awaitingState) {
-      resolve(now);
-      return;
+      start(now);
     } else if (awaitingTarget) {
       tryNextTarget();
-      return;
     } else if (current != null) {
       current.endOverdueRefusal(now);
+      if (current == attempt && current.hasStalled(now)) {
+        tryOtherPath(current, now);
+      }
     }
-    if (current == null || current != attempt || current.path().isEmpty()) {
+  }
+
+  /** Sends the request on another path too, if there is one and the route and budget allow it. */
+  private void tryOtherPath(Attempt from, long now) {
+    Service chosen = service;
+    if (chosen == null || !counts.mayTryBeside(route)) {
       return;
     }
-    long pause = now - current.lastProgressAt();
-    if (context.faults().shouldSwitchPath(current.path(), pause, current.usualPauseNanos())) {
-      switchPath(current, "an engine on the path is at fault");
+    RetryBudget budget = context.routing().retryBudget(chosen);
+    if (!budget.hasRetry()) {
+      return;
     }
-  }
-
-  /** Continues the response on another path if the route allows a retry. */
-  private void switchPath(Attempt from, String reason) {
-    if (!counts.mayRetry(route)) {
+    Set<String> suspects = context.faults().suspects(from.path());
+    excludedTargets.addAll(suspects);
+    var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
+    if (choice.isEmpty() || !budget.tryAcquireRetry()) {
       return;
     }
-    if (context.faults().isSuspect(from.target().id())) {
+    if (suspects.contains(from.target().id())) {
       counts.recordDeadTarget();
     }
-    log.pathSwitched(reason, lastEventId);
-    from.cancel();
-    from.path().stream()
-        .filter(hop -> context.faults().isSuspect(hop.id()))
-        .forEach(hop -> excludedTargets.add(hop.id()));
-    counts.recordPossibleRun();
-    attempt = null;
-    tryNextTarget();
+    log.pathSwitched("an engine on the path is at fault", lastEventId);
+    stalled.keep(from);
+    send(choice.get(), chosen.engine());
+  }
+
+  /** Called when the response of an attempt goes on. */
+  void onProgress(Attempt from) {
+    stalled.settle(from, attempt);
+    attempt = from;
+  }
+
+  private boolean otherGoesOn(Attempt failed, boolean possibleRun) {
+    attempt = stalled.afterFailure(failed, attempt, possibleRun);
+    return attempt != null;
   }
 
   /** Handles a refusal: the target has not run the request and never will. */
   void onRefused(Attempt from, HttpResponse response) {
-    attempt = null;
     Optional<String> faulty = context.dialect().faultyAddress(response);
     faulty.ifPresent(
         address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
@@ -208,21 +201,22 @@
       excludedTargets.add(from.target().id());
     }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal("targets refused the request");
+    retryAfterRefusal(from, "targets refused the request");
   }
 
   /** Handles a failed connection: nothing of the request reached the target. */
   void onNotSent(Attempt from, String reason) {
-    attempt = null;
     context.faults().markSuspect(from.target().address(), reason);
     excludedTargets.add(from.target().id());
-    retryAfterRefusal("no target could be reached");
+    retryAfterRefusal(from, "no target could be reached");
   }
 
-  private void retryAfterRefusal(String reason) {
+  private void retryAfterRefusal(Attempt from, String reason) {
     counts.recordRefusal();
-    if (counts.refusalLimitReached()) {
-      giveUp(reason, RETRY_AFTER_SECONDS);
+    if (otherGoesOn(from, false)) {
+      return;
+    } else if (counts.refusalLimitReached()) {
+      giveUp(reason, RetryAfter.SECONDS);
     } else {
       tryNextTarget();
     }
@@ -230,7 +224,6 @@
 
   /** Handles an incomplete or unauthenticated response: the request may have run. */
   void onResponseLost(Attempt from, boolean staleConnection, String reason) {
-    attempt = null;
     log.responseLost(from.target().id(), reason);
     if (staleConnection) {
       counts.recordDeadTarget();
@@ -238,6 +231,10 @@
       excludedTargets.add(from.target().id());
       context.faults().recordLostResponse(from.target());
     }
+    if (otherGoesOn(from, true)) {
+      partGuard.afterLoss(from, () -> {});
+      return;
+    }
     boolean retry = counts.mayRetry(route);
     counts.recordPossibleRun();
     partGuard.afterLoss(
@@ -254,12 +251,15 @@
   /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
   boolean retryAfterServerError(Attempt from, HttpResponse response) {
     boolean failure = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-    if (responseStarted || !failure || !counts.mayRetry(route)) {
+    if (responseStarted || !failure) {
+      return false;
+    } else if (otherGoesOn(from, true)) {
+      return true;
+    } else if (!counts.mayRetry(route)) {
       return false;
     }
     counts.recordPossibleRun();
     excludedTargets.add(from.target().id());
-    attempt = null;
     log.retriedAfterServerError(from.target().id(), response.status().code());
     tryNextTarget();
     return true;
@@ -337,7 +337,7 @@
       return;
     }
     if (counts.certainlyNotRun() && attempt == null) {
-      refuse("no target accepted the request before its deadline", RETRY_AFTER_SECONDS);
+      refuse("no target accepted the request before its deadline", RetryAfter.SECONDS);
     } else {
       fail(HttpResponseStatus.GATEWAY_TIMEOUT, "the deadline of the request has passed");
     }
@@ -353,9 +353,7 @@
   }
 
   private void refuse(String reason, double retryAfterSeconds) {
-    HttpHeaders headers = HeaderCopies.empty();
-    double seconds = retryAfterSeconds * (1 + context.routing().random().nextDouble());
-    context.dialect().setRetryAfter(headers, seconds);
+    HttpHeaders headers = RetryAfter.headers(context, retryAfterSeconds);
     endWithStatus("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
@@ -389,6 +387,7 @@
       attempt.cancel();
       attempt = null;
     }
+    stalled.cancel();
     body.release();
     context.metrics().recordEnd(routeName(), outcome, System.nanoTime() - receivedAt);
     return true;
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
@@ -1,8 +1,10 @@
 package org.clementinesail.server.proxy;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.clementinesail.core.fleet.LostAnswerDetector;
 import org.clementinesail.core.fleet.StallProbeScheduler;
 import org.clementinesail.core.fleet.TargetStatement;
@@ -46,7 +48,7 @@
     if (pauseNanos <= MIN_EXTRA_PAUSE_NANOS + usualPauseNanos * 3 / 2) {
       return false;
     }
-    boolean atFault = path.stream().anyMatch(hop -> isSuspect(hop.id()));
+    boolean atFault = !suspects(path).isEmpty();
     if (!atFault) {
       probeEngines(path);
     }
@@ -59,6 +61,11 @@
     return routing.fleet().member(id).map(m -> m.isSuspect(now)).orElse(true);
   }
 
+  /** Returns the ids of the engines of a path that are suspect or unknown. */
+  Set<String> suspects(List<Hop> path) {
+    return path.stream().map(Hop::id).filter(this::isSuspect).collect(Collectors.toSet());
+  }
+
   private void probeEngines(List<Hop> path) {
     List<String> ids = path.stream().map(Hop::id).toList();
     List<String> due =
--- a/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.proxy;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.paths.Hop;
 import org.jspecify.annotations.Nullable;
 
@@ -18,4 +19,16 @@
     long timeoutMillis,
     String targetId,
     List<Hop> path,
-    @Nullable String lastEventId) {}
+    @Nullable String lastEventId) {
+
+  /** Returns the values for a destination; the deadline is a {@link System#nanoTime}. */
+  static ForwardingInfo of(
+      RoutingState.Destination destination,
+      @Nullable String workspace,
+      long deadline,
+      @Nullable String lastEventId) {
+    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
+    String target = destination.firstTarget().statement().id();
+    return new ForwardingInfo(workspace, millis, target, destination.path(), lastEventId);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -224,9 +224,9 @@
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
-  RetryBudget retryBudget(String service) {
+  RetryBudget retryBudget(Service service) {
     return retryBudgets.computeIfAbsent(
-        service,
+        service.name(),
         key ->
             new RetryBudget(settings.retryRatio() / 2, settings.retryAllowance() / 2 / trafficVms));
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -45,13 +45,14 @@
   public void start() throws Exception {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = (EventLoop) group.next();
-    routing =
-        new RoutingState(
-            new RoutingState.Settings("a", TimeUnit.HOURS.toNanos(1), 0.2, 200), new Random(1));
+    routing = new RoutingState(settings(), new Random(1));
     ShortHeaderDialect dialect = new ShortHeaderDialect();
+    IdleEngineDialect engineDialect = new IdleEngineDialect();
     DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
     StartupWait startupWait = new StartupWait(System.nanoTime() - TimeUnit.SECONDS.toNanos(1));
-    proxy = new ProxyServer(loop, dialect, dialect, routing, startupWait, new ProxyMetrics(), log);
+    proxy =
+        new ProxyServer(
+            loop, dialect, engineDialect, routing, startupWait, new ProxyMetrics(), log);
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
@@ -60,6 +61,11 @@
     second = new ScriptedTarget();
   }
 
+  /** Returns the routing settings, by default with enough retries for any test. */
+  RoutingState.Settings settings() {
+    return new RoutingState.Settings("a", TimeUnit.HOURS.toNanos(1), 0.2, 200);
+  }
+
   /** Stops the proxy, the targets and the event loop. */
   @AfterMethod
   public void stop() throws Exception {
--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -1,5 +1,7 @@
 package org.clementinesail.server.proxy;
 
+import com.google.common.base.Splitter;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -7,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -27,6 +30,12 @@
   /** Repeats the text after this marker until the other side closes the connection. */
   static final String ENDLESS = "<endless>";
 
+  /** Sends nothing for {@link #SILENCE_MS}, then goes on with the text after this marker. */
+  static final String SILENCE = "<silence>";
+
+  /** Longer than a probe waits, shorter than a caller. */
+  static final long SILENCE_MS = 1_200;
+
   final List<String> requests = new CopyOnWriteArrayList<>();
   volatile Function<String, String> script = request -> CLOSE;
   volatile boolean endlessRunning;
@@ -71,8 +80,7 @@
         int endless = whole.indexOf(ENDLESS);
         String response = endless < 0 ? whole : whole.substring(0, endless);
         String bytes = response.replace(CLOSE, "").replace(RESET, "").replace(HANG, "");
-        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+        writeWithSilences(socket, bytes);
         if (endless >= 0) {
           repeat(socket, whole.substring(endless + ENDLESS.length()));
         }
@@ -89,6 +97,18 @@
     }
   }
 
+  private static void writeWithSilences(Socket socket, String text) throws IOException {
+    String separator = "";
+    for (String part : Splitter.on(SILENCE).split(text)) {
+      if (!separator.isEmpty()) {
+        Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(SILENCE_MS));
+      }
+      separator = SILENCE;
+      socket.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+  }
+
   private void repeat(Socket socket, String text) throws IOException {
     byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
     endlessRunning = true;
