Count a stopping VM's connections on the event loop, and answer what is left

Cause: EntryNode.readyToStop had the port closed on the event loop, but counted requests and connections on its own thread without waiting for that. A connection accepted in between was not counted. The connections were also read and closed from that thread.

Now the port is closed and the rest is counted in one task of the event loop. At the end of the grace period the requests in progress get a status, 503 if they have not run, else 504, instead of a closed connection.

--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
@@ -56,6 +57,9 @@
   /** Part of the grace period that is left unused before the process is killed. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Part of that margin in which the last answers are sent. */
+  private static final long LAST_ANSWERS_MS = 300;
+
   private static final long STOP_CHECK_INTERVAL_MS = 50;
 
   /** How long a caller's connection must be idle before a stopping VM closes it. */
@@ -189,31 +193,36 @@
     log.write("stopping");
     loop.execute(proxy::drain);
     try {
-      while (!readyToStop(stopStartedAt)) {
-        TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MS);
+      TimeUnit.MILLISECONDS.sleep(READINESS_DETECTION_MS);
+      long graceMillis = settings.graceMillis() - STOP_MARGIN_MS;
+      boolean idle = awaitIdle(stopStartedAt + TimeUnit.MILLISECONDS.toNanos(graceMillis));
+      if (!idle) {
+        loop.execute(() -> log.write("requests ended by the stop", "count", proxy.endRequests()));
+        idle = awaitIdle(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MS));
       }
+      log.write("stopped", "idle", idle);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    log.write("stopped", "unfinished", proxy.requestsInProgress());
-    proxy.close();
+    loop.execute(proxy::close);
     network.close();
   }
 
-  private boolean readyToStop(long stopStartedAt) {
-    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopStartedAt);
-    if (elapsedMs < READINESS_DETECTION_MS) {
-      return false;
+  /** Waits until no caller is connected or the deadline has passed; returns whether none is. */
+  private boolean awaitIdle(long deadline) throws InterruptedException {
+    while (true) {
+      // If few VMs are ready, the load balancer also sends callers to VMs that are not; with the
+      // port closed they connect to another VM.
+      Future<Boolean> idle =
+          loop.submit(() -> proxy.stopAcceptingAndCheckIdle(STOP_MIN_IDLE_NANOS));
+      idle.await(Math.max(1, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
+      if (idle.isSuccess() && idle.getNow()) {
+        return true;
+      } else if (System.nanoTime() - deadline >= 0) {
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MS);
     }
-    // If few VMs are ready, the load balancer also sends callers to VMs that are not; with the port
-    // closed they connect to another VM.
-    loop.execute(
-        () -> {
-          proxy.stopAccepting();
-          proxy.closeIdleConnections(STOP_MIN_IDLE_NANOS);
-        });
-    boolean idle = proxy.requestsInProgress() == 0 && proxy.connections() == 0;
-    return idle || elapsedMs > settings.graceMillis() - STOP_MARGIN_MS;
   }
 
   /** Handles frames from control VMs. */
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -97,8 +97,8 @@
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
-    timer =
-        context.loop().schedule(this::expire, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+    Runnable expiry = () -> end("the deadline of the request has passed");
+    timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
   }
 
@@ -332,14 +332,12 @@
     }
   }
 
-  private void expire() {
-    if (finished) {
-      return;
-    }
+  /** Ends the request because its time is over: 503 if it has certainly not run, else 504. */
+  void end(String reason) {
     if (counts.certainlyNotRun() && attempt == null) {
-      refuse("no target accepted the request before its deadline", RetryAfter.SECONDS);
+      refuse(reason, RetryAfter.SECONDS);
     } else {
-      fail(HttpResponseStatus.GATEWAY_TIMEOUT, "the deadline of the request has passed");
+      fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason);
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -142,38 +142,48 @@
   }
 
   /**
-   * Closes connections without a request in progress.
+   * Closes the listening socket and the connections without a request in progress. Must be called
+   * on the event loop, so that no connection is accepted between the close and the check.
    *
-   * @param maxIdleNanos minimum idle time in nanoseconds of the connections to close
+   * @param minIdleNanos minimum idle time in nanoseconds of the connections to close
+   * @return whether no connection is left, so that no answer is due or unsent any more
    */
-  public void closeIdleConnections(long maxIdleNanos) {
+  public boolean stopAcceptingAndCheckIdle(long minIdleNanos) {
+    stopAccepting();
     long now = System.nanoTime();
-    List.copyOf(connections).forEach(c -> c.closeIfIdle(now, maxIdleNanos));
+    List.copyOf(connections).forEach(c -> c.closeIfIdle(now, minIdleNanos));
+    return connections.isEmpty() && exchanges.isEmpty();
+  }
+
+  /**
+   * Ends all requests in progress with a status; a response that has begun is cut. Must be called
+   * on the event loop.
+   *
+   * @return number of requests that were in progress
+   */
+  public int endRequests() {
+    List<Exchange> open = List.copyOf(exchanges);
+    open.forEach(exchange -> exchange.end("the VM stops"));
+    return open.size();
   }
 
   /** Returns the number of requests in progress. */
-  public int requestsInProgress() {
+  int requestsInProgress() {
     return exchanges.size();
   }
 
-  /** Returns the number of open connections of callers. */
-  public int connections() {
-    return connections.size();
+  /** Closes the listening socket and all connections of callers at once, on the event loop. */
+  public void close() {
+    stopAccepting();
+    List.copyOf(connections).forEach(CallerConnection::close);
   }
 
-  /** Closes the listening socket; open connections stay. */
-  public void stopAccepting() {
+  private void stopAccepting() {
     if (serverChannel != null) {
       serverChannel.close();
     }
   }
 
-  /** Closes the listening socket and all connections of callers at once. */
-  public void close() {
-    stopAccepting();
-    List.copyOf(connections).forEach(CallerConnection::close);
-  }
-
   private void checkProgress() {
     long now = System.nanoTime();
     for (Exchange exchange : List.copyOf(exchanges)) {
