Answer requests that an error in the proxy itself keeps from being processed

Callers saw: a connection that closed without an answer, and no line told why.

Cause: an exception in the constructor or the start of an Exchange went to CallerConnection.exceptionCaught, which closed the connection. One in checkProgress kept all exchanges after it from being checked in that round, and the request waited for its deadline.

Now such a request ends at once: 503 with Retry-After if nothing has run, else 504, with a line 'internal error'. An error while a target is at work on the request is logged and ends nothing. Each exchange is checked by itself.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -118,11 +119,28 @@
     }
     ReceivedRequest received = waiting.removeFirst();
     closeAfterResponse = !HttpUtil.isKeepAlive(received.head());
-    Exchange started =
-        new Exchange(context, this, received.head(), received.body(), received.receivedAt());
-    exchange = started;
-    server.exchangeStarted(started);
-    started.start(System.nanoTime());
+    try {
+      Exchange started =
+          new Exchange(context, this, received.head(), received.body(), received.receivedAt());
+      exchange = started;
+      server.exchangeStarted(started);
+      started.start(System.nanoTime());
+    } catch (RuntimeException e) {
+      answerAfterError(received, e);
+    }
+  }
+
+  /** Answers a request that an error in this VM keeps from being processed. */
+  private void answerAfterError(ReceivedRequest received, RuntimeException error) {
+    Exchange started = exchange;
+    if (started != null) {
+      started.onError(error);
+      return;
+    }
+    context.log().write("internal error", "error", error);
+    received.body().release();
+    HttpHeaders headers = RetryAfter.headers(context, RetryAfter.SECONDS);
+    sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
   }
 
   private void refuseUnreadable(Throwable cause) {
@@ -283,6 +301,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      context.log().write("caller connection failed", "error", cause);
+    }
     handlerContext.close();
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -17,7 +17,6 @@
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
-import org.clementinesail.core.limits.RetryBudget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -163,14 +162,10 @@
     if (chosen == null || !counts.mayTryBeside(route)) {
       return;
     }
-    RetryBudget budget = context.routing().retryBudget(chosen);
-    if (!budget.hasRetry()) {
-      return;
-    }
     Set<String> suspects = context.faults().suspects(from.path());
     excludedTargets.addAll(suspects);
-    var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
-    if (choice.isEmpty() || !budget.tryAcquireRetry()) {
+    var choice = context.routing().acquireRetry(chosen, metadata, excludedTargets, now);
+    if (choice.isEmpty()) {
       return;
     }
     if (suspects.contains(from.target().id())) {
@@ -332,7 +327,7 @@
     }
   }
 
-  /** Ends the request because its time is over: 503 if it has certainly not run, else 504. */
+  /** Ends the request without a target's response: 503 if it has certainly not run, else 504. */
   void end(String reason) {
     if (counts.certainlyNotRun() && attempt == null) {
       refuse(reason, RetryAfter.SECONDS);
@@ -341,6 +336,14 @@
     }
   }
 
+  /** Handles an error in this VM: the request ends unless a target is at work on it. */
+  void onError(RuntimeException error) {
+    log.failedInternally(error);
+    if (attempt == null) {
+      end("internal error");
+    }
+  }
+
   /** Ends the request: 503 with Retry-After if it has certainly not run, else 502. */
   private void giveUp(String reason, double retryAfterSeconds) {
     if (counts.certainlyNotRun()) {
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -42,6 +42,10 @@
     log.write("repeated after failure", "request", requestId, "target", target, "status", status);
   }
 
+  void failedInternally(RuntimeException error) {
+    log.write("internal error", "request", requestId, "error", error, "after_ms", ageMillis());
+  }
+
   void callerDisconnected() {
     log.write("caller left", "request", requestId, "after_ms", ageMillis());
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -187,7 +187,11 @@
   private void checkProgress() {
     long now = System.nanoTime();
     for (Exchange exchange : List.copyOf(exchanges)) {
-      exchange.checkProgress(now);
+      try {
+        exchange.checkProgress(now);
+      } catch (RuntimeException e) {
+        exchange.onError(e);
+      }
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -178,6 +178,15 @@
         .map(path -> new Destination(fleet.member(path.get(0).id()).orElseThrow(), path));
   }
 
+  /** Takes a retry from the budget if there is one and a target; returns the target, or empty. */
+  Optional<Destination> acquireRetry(
+      Service service, RequestMetadata metadata, Set<String> excluded, long now) {
+    RetryBudget budget = retryBudget(service);
+    return budget.hasRetry()
+        ? chooseDestination(service, metadata, excluded, now).filter(d -> budget.tryAcquireRetry())
+        : Optional.empty();
+  }
+
   /** Records a request sent to the engines of a path; returns the load added to each engine. */
   List<LocalLoad.Assignment> recordAssignment(
       List<Hop> path, EngineModel model, TokenEstimate estimate) {
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -10,6 +10,9 @@
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
 final class ShortHeaderDialect implements Dialect, EngineDialect {
+  /** Header of a request that causes an exception when it is prepared for a target. */
+  static final String ERROR = "Error";
+
   @Override
   public RequestMetadata readMetadata(HttpRequest request) {
     HttpHeaders headers = request.headers();
@@ -27,6 +30,9 @@
 
   @Override
   public void prepareForTarget(HttpHeaders headers, ForwardingInfo forwarding) {
+    if (headers.contains(ERROR)) {
+      throw new IllegalStateException("the request has the header " + ERROR);
+    }
     headers.remove("Key");
     headers.set("Timeout-Ms", forwarding.timeoutMillis());
     headers.set("Target", forwarding.targetId());
