Answer all requests that were read before a connection closes

Callers saw: a connection that closed without the answer to a request that had been read and sent to a target.

Cause: a second request that could not be read, or was too long, closed the connection while the first one was in progress. During a planned stop, a stream that had begun before announces no close; its connection was closed at its end although another request had been read. After the last response the connection went on reading and could start a request until the close.

Now a refusal waits for the answers to the requests before it, a connection closes without an announcement only if no request waits, and nothing is read after the last response.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -46,11 +46,16 @@
   private boolean bodyRefused;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
+  private boolean lastResponseSent;
+  private @Nullable Refusal refusal;
   private long idleSince = System.nanoTime();
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
   private record ReceivedRequest(HttpRequest head, ByteBuf body, long receivedAt) {}
 
+  /** Status for bytes that are no request that can be processed; ends the connection. */
+  private record Refusal(HttpResponseStatus status, String reason) {}
+
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
@@ -65,6 +70,9 @@
   @Override
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
     try {
+      if (lastResponseSent || refusal != null) {
+        return;
+      }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
         refuseUnreadable(part.decoderResult().cause());
         return;
@@ -114,7 +122,11 @@
   }
 
   private void startNextRequest() {
-    if (exchange != null || waiting.isEmpty()) {
+    if (exchange != null || lastResponseSent) {
+      return;
+    }
+    if (waiting.isEmpty()) {
+      sendRefusal();
       return;
     }
     ReceivedRequest received = waiting.removeFirst();
@@ -153,17 +165,20 @@
         String.valueOf(cause.getMessage()));
   }
 
+  /** Refuses further requests, after the responses to those that have been read. */
   private void refuseAndClose(HttpResponseStatus status, String reason) {
-    context.log().write("unreadable", "status", status.code(), "reason", reason);
-    Channel open = channel;
-    if (open == null || exchange != null) {
-      close();
+    refusal = new Refusal(status, reason);
+    startNextRequest();
+  }
+
+  private void sendRefusal() {
+    Refusal due = refusal;
+    if (due == null) {
       return;
     }
-    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-    HttpUtil.setContentLength(response, 0);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    open.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.log().write("unreadable", "status", due.status().code(), "reason", due.reason());
+    closeAfterResponse = true;
+    sendResponse(due.status(), HeaderCopies.empty(), Unpooled.EMPTY_BUFFER);
   }
 
   private RequestLimits limits() {
@@ -222,7 +237,8 @@
   void endResponse() {
     if (channel != null) {
       var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-      if (closeAfterResponse || server.draining()) {
+      if (closeAfterResponse || (server.draining() && waiting.isEmpty() && refusal == null)) {
+        lastResponseSent = true;
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
@@ -243,6 +259,7 @@
     boolean close = closeAfterResponse || server.draining();
     if (close) {
       closeAfterResponse = true;
+      lastResponseSent = true;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     return close;
@@ -255,7 +272,7 @@
     if (ended != null) {
       server.exchangeEnded(ended);
     }
-    if (!waiting.isEmpty()) {
+    if (!waiting.isEmpty() || refusal != null) {
       context.loop().execute(this::startNextRequest);
     }
   }
