Read what has arrived before an idle connection closes

Callers saw: beside a change of the configuration, a whole request that got neither an answer nor a refusal.

Cause: idle connections are closed in a task of the event loop, by the limit of the newest version. While the loop is busy, as with applying a version, a request can arrive on such a connection; the task ran before it was read. A version with a lower limit also closed, in its next second, all connections that were idle under the limit that their callers know. The same holds for the idle connections that a planned stop closes.

Evidence: ClosingConnectionTest on the old code: 'lists don't have the same size expected [1] but found [0]', a request that had arrived 50 ms before the close got no answer; 'closed by the new limit expected [true] but found [false]'.

Now the close follows 5 ms after the check, if the connection is still idle, so that the event loop reads before it. The end of the idle time is stored when it begins; a lower limit holds from the next idle time on.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -37,6 +38,9 @@
   /** Maximum number of requests that wait for the current one; another closes the connection. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Time in which the event loop reads what has already arrived on a connection. */
+  private static final long READ_BEFORE_CLOSE_MS = 5;
+
   private final ProxyContext context;
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
@@ -49,6 +53,7 @@
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
   private long idleSince = System.nanoTime();
+  private long idleUntil;
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
   private record ReceivedRequest(HttpRequest head, ByteBuf body, long receivedAt) {}
@@ -59,6 +64,7 @@
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
+    this.idleUntil = idleSince + idleLimitNanos();
   }
 
   @Override
@@ -198,7 +204,7 @@
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
     HttpUtil.setContentLength(response, content.readableBytes());
     boolean close = setConnectionClose(response);
-    var written = open.writeAndFlush(response);
+    ChannelFuture written = open.writeAndFlush(response);
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
@@ -236,7 +242,7 @@
   /** Completes a chunked response and ends the exchange. */
   void endResponse() {
     if (channel != null) {
-      var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
       if (closeAfterResponse || (server.draining() && waiting.isEmpty() && refusal == null)) {
         lastResponseSent = true;
         written.addListener(ChannelFutureListener.CLOSE);
@@ -269,6 +275,7 @@
     Exchange ended = exchange;
     exchange = null;
     idleSince = System.nanoTime();
+    idleUntil = idleSince + idleLimitNanos();
     if (ended != null) {
       server.exchangeEnded(ended);
     }
@@ -277,17 +284,40 @@
     }
   }
 
-  /** Closes the connection if it has had no request for at least the given time. */
+  /**
+   * Closes the connection if it has had no request for at least the given time and none has
+   * arrived; what has arrived while the event loop was busy is read first.
+   */
   void closeIfIdle(long now, long maxIdleNanos) {
-    boolean idle = exchange == null && head == null && waiting.isEmpty();
-    if (idle && now - idleSince >= maxIdleNanos) {
+    long since = idleSince;
+    if (isIdle() && now - since >= maxIdleNanos) {
+      Runnable check = () -> closeIfIdleSince(since);
+      context.loop().schedule(check, READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void closeIfIdleSince(long since) {
+    if (isIdle() && idleSince == since) {
       close();
     }
   }
 
-  /** Closes the connection if it has been idle for the idle timeout of callers. */
+  private boolean isIdle() {
+    return exchange == null && head == null && waiting.isEmpty();
+  }
+
+  /**
+   * Closes the connection if it has been idle for the idle timeout of callers. A version with a
+   * shorter one holds from the next idle time on, as callers may not know it yet.
+   */
   void closeIfExpired(long now) {
-    closeIfIdle(now, TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis()));
+    if (now - idleUntil >= 0) {
+      closeIfIdle(now, idleLimitNanos());
+    }
+  }
+
+  private long idleLimitNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis());
   }
 
   void close() {
--- a/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
@@ -1,13 +1,18 @@
 package org.clementinesail.server.proxy;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import org.clementinesail.core.desired.DesiredState;
@@ -141,4 +146,56 @@
             limits);
     loop.submit(() -> routing.desiredState(((DesiredState.Valid) checked).state())).sync();
   }
+
+  private static boolean isOpen(Socket socket) throws IOException {
+    socket.setSoTimeout(1_500);
+    try {
+      return socket.getInputStream().read() >= 0;
+    } catch (SocketTimeoutException e) {
+      return true;
+    }
+  }
+
+  /** A version with a lower idle limit closes no connection that is idle under the one before. */
+  @Test
+  public void lowerIdleLimitHoldsFromTheNextIdleTimeOn() throws Exception {
+    startTargets(OK_RESPONSE);
+    applyVersion(2, 15_000);
+    try (Socket socket = connect()) {
+      write(socket, request("/once/x", ""));
+      assertEquals(socket.getInputStream().read(), 'H');
+      socket.getInputStream().readNBytes(socket.getInputStream().available());
+      applyVersion(3, 100);
+      assertTrue(isOpen(socket), "closed by the new limit");
+      write(socket, request("/once/x", ""));
+      assertEquals(socket.getInputStream().read(), 'H');
+      socket.getInputStream().readNBytes(socket.getInputStream().available());
+      assertFalse(isOpen(socket), "open beyond the new limit");
+    }
+  }
+
+  /** A request that arrived while the event loop was busy is read before its connection closes. */
+  @Test
+  public void requestThatHasArrivedIsReadBeforeAnIdleConnectionCloses() throws Exception {
+    startTargets(OK_RESPONSE);
+    CountDownLatch busy = new CountDownLatch(1);
+    CountDownLatch sent = new CountDownLatch(1);
+    try (Socket socket = connect()) {
+      write(socket, request("/once/x", ""));
+      socket.getInputStream().readNBytes(OK_RESPONSE.length());
+      Future<?> closed =
+          loop.submit(
+              () -> {
+                busy.countDown();
+                Uninterruptibles.awaitUninterruptibly(sent);
+                proxy.stopAcceptingAndCheckIdle(0);
+              });
+      busy.await();
+      write(socket, request("/once/x", "Connection: close\r\n"));
+      TimeUnit.MILLISECONDS.sleep(50);
+      sent.countDown();
+      closed.sync();
+      assertEquals(statuses(readAll(socket)), List.of("200"));
+    }
+  }
 }
