Answer a call that its handler fails on, instead of closing the connection

What callers saw: a call of another writer that the reader threw on (such as an id with a bad percent-encoding) ended with a closed connection and no line in the log; the sender could not tell it from a dead VM, and calls behind it on the connection were lost. A request that is no HTTP ended the same way.

Cause: HttpEndpoint let an exception of its handler reach exceptionCaught, which closes. Now it answers 500 (400 for what can't be parsed) and writes one bounded line; a stack overflow counts as well, since bodies of others may be deeply nested.

--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.fleet;
 
+import com.google.common.base.Ascii;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -23,24 +24,29 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.clementinesail.server.logging.DecisionLog;
 
 /**
  * Minimal HTTP server without streaming: requests and responses are complete messages.
  *
  * <pre>{@code
  * HttpEndpoint.listen(
- *     loop, address, 65_536, (request, reply) -> reply.accept(HttpEndpoint.text(200, "x", "ok")));
+ *     loop, address, 65_536, log, (request, reply) -> reply.accept(HttpEndpoint.text(200, "x", "ok")));
  * }</pre>
  */
 public final class HttpEndpoint {
+  /** Longest logged text of a caller; it may be of any length. */
+  private static final int MAX_LOGGED_CHARS = 200;
+
   private HttpEndpoint() {}
 
   /** Handles requests on the event loop; may respond later. */
   @FunctionalInterface
   public interface Handler {
     /**
-     * Handles a request.
+     * Handles a request. If it throws before it has responded, the response is status 500.
      *
      * @param request the request, released after this method returns
      * @param reply sends the response; called once, from any thread
@@ -54,11 +60,16 @@
    * @param loop event loop for all connections
    * @param address address and port to listen on
    * @param maxBodyBytes longest request body; a longer one is answered with status 413
+   * @param log receives a line for each request that cannot be parsed or that the handler fails on
    * @param handler handles the requests
    * @return the listening channel
    */
   public static Channel listen(
-      EventLoop loop, InetSocketAddress address, int maxBodyBytes, Handler handler) {
+      EventLoop loop,
+      InetSocketAddress address,
+      int maxBodyBytes,
+      DecisionLog log,
+      Handler handler) {
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -70,7 +81,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new HttpServerCodec());
                 channel.pipeline().addLast(new HttpObjectAggregator(maxBodyBytes));
-                channel.pipeline().addLast(new CallHandler(loop, handler));
+                channel.pipeline().addLast(new CallHandler(loop, log, handler));
               }
             })
         .bind(address)
@@ -106,22 +117,52 @@
 
   private static final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final EventLoop loop;
+    private final DecisionLog log;
     private final Handler handler;
 
-    CallHandler(EventLoop loop, Handler handler) {
+    CallHandler(EventLoop loop, DecisionLog log, Handler handler) {
       super(FullHttpRequest.class);
       this.loop = loop;
+      this.log = log;
       this.handler = handler;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
       if (request.decoderResult().isFailure()) {
-        context.close();
+        logFailure("request not parsed", request.uri(), request.decoderResult().cause());
+        // The decoder has lost its place: what follows on the connection cannot be parsed.
+        reply(context, false, status(HttpResponseStatus.BAD_REQUEST));
         return;
       }
       boolean keepAlive = HttpUtil.isKeepAlive(request);
-      handler.handle(request, response -> reply(context, keepAlive, response));
+      AtomicBoolean answered = new AtomicBoolean();
+      try {
+        handler.handle(
+            request,
+            response -> {
+              answered.set(true);
+              reply(context, keepAlive, response);
+            });
+      } catch (RuntimeException | StackOverflowError e) {
+        logFailure("request failed", request.uri(), e);
+        if (!answered.get()) {
+          reply(context, keepAlive, status(HttpResponseStatus.INTERNAL_SERVER_ERROR));
+        }
+      }
+    }
+
+    private void logFailure(String event, String uri, Throwable cause) {
+      log.write(
+          event,
+          "uri",
+          Ascii.truncate(uri, MAX_LOGGED_CHARS, "..."),
+          "reason",
+          Ascii.truncate(String.valueOf(cause), MAX_LOGGED_CHARS, "..."));
+    }
+
+    private static FullHttpResponse status(HttpResponseStatus status) {
+      return text(status.code(), "text/plain", "");
     }
 
     private void reply(
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -153,6 +153,7 @@
         Objects.requireNonNull(
             settings.apiAddress(), "a control VM needs an address for targets and operators"),
         MAX_BODY_BYTES,
+        log,
         api);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("updating the role", this::updateRole),
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -151,7 +151,7 @@
             settings.proxyAddress(), "an entry VM needs an address for callers"));
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
-      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, this::answerStatusRequest);
+      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
     }
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
