--- a/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
@@ -68,7 +68,8 @@
     try {
       call = dialect.read(request);
     } catch (MalformedMessageException e) {
-      log.write("unreadable call", "uri", request.uri(), "reason", e.getMessage());
+      log.write(
+          "unreadable call", "uri", HttpEndpoint.loggable(request.uri()), "reason", e.getMessage());
       reply.accept(HttpEndpoint.text(BAD_REQUEST, JSON, EMPTY_OBJECT));
       return;
     }
@@ -96,7 +97,7 @@
     byte[] document = ByteBufUtil.getBytes(request.content());
     DesiredState.CheckResult checked = dialect.checkDesired(document);
     if (checked instanceof DesiredState.Invalid invalid) {
-      log.write("desired state refused", "reason", invalid.reason());
+      log.write("desired state refused", "reason", HttpEndpoint.loggable(invalid.reason()));
       reply.accept(HttpEndpoint.text(BAD_REQUEST, JSON, EMPTY_OBJECT));
       return;
     }
--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -115,6 +115,11 @@
     return response;
   }
 
+  /** Shortens a text of a caller, which may be of any length, for a line of the log. */
+  static String loggable(String text) {
+    return Ascii.truncate(text, MAX_LOGGED_CHARS, "...");
+  }
+
   private static final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private final EventLoop loop;
     private final DecisionLog log;
@@ -153,12 +158,7 @@
     }
 
     private void logFailure(String event, String uri, Throwable cause) {
-      log.write(
-          event,
-          "uri",
-          Ascii.truncate(uri, MAX_LOGGED_CHARS, "..."),
-          "reason",
-          Ascii.truncate(String.valueOf(cause), MAX_LOGGED_CHARS, "..."));
+      log.write(event, "uri", loggable(uri), "reason", loggable(String.valueOf(cause)));
     }
 
     private static FullHttpResponse status(HttpResponseStatus status) {
