Apply an update of the fleet without its invalid statements and reports

What callers saw: nothing by itself in a fleet of one version. A control VM of an earlier build accepts what this one refuses, and passes it on: the statements behind the odd one in the update were lost, with each full update again, and the exception reached the handler of the connection, which closes it. An entry VM then follows the list no longer.

Cause: the nodes decoded an update in one go, and FleetCodec threw for an unknown phase, IllegalArgumentException for a layer below 0, and accepted everything else (uint32 and uint64 above the signed range became negative, a pace of NaN).

FleetCodec checks statements as PlatformControl does (StatementCheck) and reports a CodecException for anything invalid; both nodes read updates through FleetUpdateReader, which leaves out what is invalid with a line for each. This is also where an address that can't be parsed is kept from the entry VM's Fleet, whoever accepted it.

--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -51,6 +51,7 @@
   private final BooleanSupplier isLeader;
   private final BooleanSupplier leaderKnown;
   private final DecisionLog log;
+  private final FleetUpdateReader updateReader;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
   private final Map<String, TargetStatement> statements = new LinkedHashMap<>();
   private final Map<String, EngineReport> reports = new LinkedHashMap<>();
@@ -92,6 +93,7 @@
     this.isLeader = isLeader;
     this.leaderKnown = leaderKnown;
     this.log = log;
+    this.updateReader = new FleetUpdateReader(log);
   }
 
   /** Starts to send updates. */
@@ -169,13 +171,8 @@
     if (update.getStatementsCount() > 0) {
       fleet.recordContact(now);
     }
-    update
-        .getStatementsList()
-        .forEach(
-            s ->
-                fleet.recordStatement(
-                    FleetCodec.decode(s), FleetCodec.timeFromAge(s.getAgeMillis(), now)));
-    update.getReportsList().forEach(r -> fleet.recordReport(FleetCodec.decode(r, now), now));
+    updateReader.read(
+        update, now, fleet::recordStatement, report -> fleet.recordReport(report, now));
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -20,6 +20,7 @@
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
 import org.clementinesail.server.fleet.DocumentCompression;
+import org.clementinesail.server.fleet.FleetUpdateReader;
 import org.clementinesail.server.fleet.HttpEndpoint;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.Dialect;
@@ -28,7 +29,6 @@
 import org.clementinesail.server.proxy.ProxyServer;
 import org.clementinesail.server.proxy.RoutingState;
 import org.clementinesail.wire.CrashCodec;
-import org.clementinesail.wire.FleetCodec;
 import org.clementinesail.wire.PeerListener;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.SharedSecret;
@@ -75,6 +75,7 @@
   private final NodeSettings settings;
   private final ControlDialect controlDialect;
   private final DecisionLog log;
+  private final FleetUpdateReader updateReader;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
@@ -105,6 +106,7 @@
     this.settings = settings;
     this.controlDialect = controlDialect;
     this.log = log;
+    this.updateReader = new FleetUpdateReader(log);
     RoutingState.Settings routingSettings =
         new RoutingState.Settings(
             settings.dataCentre(),
@@ -255,39 +257,35 @@
     if (update.getStatementsCount() > 0) {
       routing.fleet().recordContact(now);
     }
-    update
-        .getStatementsList()
-        .forEach(
-            image -> {
-              TargetStatement statement = FleetCodec.decode(image);
-              long receivedAt = FleetCodec.timeFromAge(image.getAgeMillis(), now);
-              if (routing.fleet().recordStatement(statement, receivedAt)) {
-                log.write(
-                    "target",
-                    "target",
-                    statement.id(),
-                    "phase",
-                    statement.phase(),
-                    "layers",
-                    String.valueOf(statement.layers()),
-                    "age_ms",
-                    image.getAgeMillis());
-              }
-            });
     // An engine that a control VM could not reach is avoided for 1.8 s, longer than the time
     // to its next report.
-    update
-        .getReportsList()
-        .forEach(
-            r ->
-                routing.recordReport(
-                    FleetCodec.decode(r, now), now + TimeUnit.MILLISECONDS.toNanos(1_800)));
+    long suspectUntil = now + TimeUnit.MILLISECONDS.toNanos(1_800);
+    updateReader.read(
+        update,
+        now,
+        (statement, receivedAt) -> applyStatement(statement, receivedAt, now),
+        report -> routing.recordReport(report, suspectUntil));
     if (update.getTrafficVms() > 0) {
       routing.trafficVms(update.getTrafficVms());
     }
     subscriptions.updateControlVms(update.getControlVmsList());
   }
 
+  private void applyStatement(TargetStatement statement, long receivedAt, long now) {
+    if (routing.fleet().recordStatement(statement, receivedAt)) {
+      log.write(
+          "target",
+          "target",
+          statement.id(),
+          "phase",
+          statement.phase(),
+          "layers",
+          String.valueOf(statement.layers()),
+          "age_ms",
+          TimeUnit.NANOSECONDS.toMillis(now - receivedAt));
+    }
+  }
+
   private void applyDesired(String vm, DesiredDocument document) {
     long currentVersion = routing.desiredState().map(DesiredState::version).orElse(0L);
     if (document.version() <= currentVersion) {
--- a/wire/src/main/java/org/clementinesail/wire/FleetCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/FleetCodec.java
@@ -1,6 +1,8 @@
 package org.clementinesail.wire;
 
+import java.util.Optional;
 import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.StatementCheck;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
 import org.clementinesail.core.targets.LayerRange;
@@ -49,21 +51,28 @@
    * Decodes a statement without its age, which {@link #timeFromAge} converts.
    *
    * @param in the encoded statement
-   * @throws CodecException if this version does not know its phase
-   * @throws IllegalArgumentException if its layer range starts below 0
+   * @throws CodecException if this version does not know its phase, or if a field is invalid; an
+   *     earlier version may have accepted it from a target
    */
   public static TargetStatement decode(StatementImage in) {
-    return new TargetStatement(
-        in.getId(),
-        in.getService(),
-        in.getAddress(),
-        in.getDataCentre(),
-        in.getSlots(),
-        phase(in),
-        in.getAccelerator(),
-        layers(in.getLayerFrom(), in.getLayerTo()),
-        in.getStartedAtMillis(),
-        in.getSequence());
+    TargetStatement statement =
+        new TargetStatement(
+            in.getId(),
+            in.getService(),
+            in.getAddress(),
+            in.getDataCentre(),
+            in.getSlots(),
+            phase(in),
+            in.getAccelerator(),
+            layers(in.getLayerFrom(), in.getLayerTo()),
+            in.getStartedAtMillis(),
+            in.getSequence());
+    requireNonNegative(in.getAgeMillis());
+    Optional<String> problem = StatementCheck.problem(statement);
+    if (problem.isPresent()) {
+      throw new CodecException("invalid statement of a target: " + problem.get());
+    }
+    return statement;
   }
 
   /**
@@ -97,9 +106,18 @@
    *
    * @param in the encoded report
    * @param now current monotonic time in nanoseconds
-   * @throws IllegalArgumentException if its layer range starts below 0
+   * @throws CodecException if a field is invalid
    */
   public static EngineReport decode(ReportImage in, long now) {
+    requireNonNegative(in.getRunning());
+    requireNonNegative(in.getWaiting());
+    requireNonNegative(in.getKvUsed());
+    requireNonNegative(in.getKvTotal());
+    requireNonNegative(in.getOrderSequence());
+    requireNonNegative(in.getAgeMillis());
+    if (!Double.isFinite(in.getPace())) {
+      throw new CodecException("a report of an engine has no finite pace");
+    }
     return new EngineReport(
         in.getId(),
         in.getReachable(),
@@ -137,13 +155,21 @@
       case READY -> Phase.READY;
       case DRAINING -> Phase.DRAINING;
       case GONE -> Phase.GONE;
-      case UNRECOGNIZED ->
-          throw new CodecException("statement of target " + in.getId() + " has an unknown phase");
+      case UNRECOGNIZED -> throw new CodecException("a statement of a target has an unknown phase");
     };
   }
 
+  /** Refuses numbers above the range of the signed type that they are held in. */
+  private static void requireNonNegative(long number) {
+    if (number < 0) {
+      throw new CodecException("a number of a target is out of range");
+    }
+  }
+
   /** Returns the range; null if it is empty or reversed, as for a target without layers. */
   private static @Nullable LayerRange layers(int from, int to) {
+    requireNonNegative(from);
+    requireNonNegative(to);
     return to > from ? new LayerRange(from, to) : null;
   }
 
