Plan no path over an engine that states layers beyond its model's

What callers saw: while one engine stated layers up to 2^31 - 1, each request that needed a path ended with a closed connection and no answer, whichever engines it would have used.

Cause: PathPlanner.extend adds 1 to the end of the range, which overflows, and subSet throws "fromKey > toKey" on the event loop, within the caller's request. A number cut by `(int)` came to the same (4,294,967,312 is 16).

The planner leaves out engines whose range ends beyond the model: they hold another model, or none.

PathPlannerTest.engineBeyondTheModelIsNotUsed on the old code: "IllegalArgument fromKey > toKey". After: passes.

--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -144,7 +144,10 @@
     LayerRange layers = engine.layers();
     String id = engine.statement().id();
     Accelerator kind = model.accelerator(engine.statement().accelerator()).orElse(null);
-    if (layers == null || kind == null || !hasMemory(model, kind, engine, requirements, vms, now)) {
+    if (layers == null || layers.to() > model.layers() || kind == null) {
+      return Optional.empty();
+    }
+    if (!hasMemory(model, kind, engine, requirements, vms, now)) {
       return Optional.empty();
     }
     EngineReport report = engine.freshReport(now).orElse(null);
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -89,6 +89,20 @@
     assertCoversAllLayers(plan(Set.of()));
   }
 
+  /** An engine that states layers beyond the model's does not prevent paths over the others. */
+  @Test
+  public void engineBeyondTheModelIsNotUsed() {
+    engine("x", "a", "whole", 0, 40);
+    engine("y", "a", "whole", 40, 80);
+    engine("odd1", "a", "whole", 0, Integer.MAX_VALUE);
+    engine("odd2", "a", "whole", 40, 81);
+    for (String id : List.of("odd1", "odd2")) {
+      // Memory as reported, since an engine without a report would have none left.
+      fleet.recordReport(new EngineReport(id, true, 0, 0, 0, 1L << 50, 1, false, 0, null, -1), 0);
+    }
+    assertEquals(ids(plan(Set.of())), List.of("x", "y"));
+  }
+
   /**
    * A path stays in one data centre if possible, instead of sending a prompt over the shared link.
    */
