Keep a sound target in use beside odd statements under its id or address

What callers saw: requests refused with "no target is available" though the targets answered: a statement of another writer, of a service that nothing names, took the id or the address of a sound target by a later start.

Cause: the statement with the later start won by id and by address, whatever its service; one with a sequence far ahead made all later statements of the target look late, so that its lease ended; one of the same start could move the target to another address. A control VM sent on only the last statement of an id in 250 ms, so that an odd one could take the place of the sound one.

Now, by the desired state that a VM holds, a statement of a named service comes before one of an unnamed service, for the id and for the address, in either order of arrival. Within a lifetime service and address stay the same, and a statement more than 10,000 numbers behind isn't late. The sending VM keeps both statements apart. A heartbeat of an unnamed service is still acknowledged: a control VM may lag behind the operator, and refusing would send a sound target from VM to VM.

--- a/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
+++ b/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One valid version of the desired state, indexed for lookups.
@@ -167,6 +168,11 @@
     return List.copyOf(services.values());
   }
 
+  /** Returns the names of all services. */
+  public Set<String> serviceNames() {
+    return Set.copyOf(services.keySet());
+  }
+
   /**
    * Returns the workspace with an API key, or empty if the key is unknown.
    *
--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
 import org.clementinesail.core.targets.LayerRange;
 import org.jspecify.annotations.Nullable;
@@ -78,6 +79,7 @@
 
   private final Map<String, Member> members = new HashMap<>();
   private final long leaseNanos;
+  private Set<String> services = Set.of();
   private boolean hasContact;
   private long lastContactAt;
   private long pastOutageNanos;
@@ -91,6 +93,20 @@
     this.leaseNanos = leaseNanos;
   }
 
+  /**
+   * Sets the services of the desired state. Targets of other services are kept, since a desired
+   * state may name theirs later, but displace no target of these services.
+   *
+   * @param names names of the services; if empty, none is preferred
+   */
+  public void services(Set<String> names) {
+    services = Set.copyOf(names);
+  }
+
+  private boolean isNamed(String service) {
+    return services.isEmpty() || services.contains(service);
+  }
+
   /**
    * Records that statements reach this VM. While none do, the leases of all targets pause: the
    * targets may be healthy and only this VM's sources of statements have failed.
@@ -133,7 +149,7 @@
           statement.id(), new Member(statement, receivedAt, null, receivedAt - 1, pastOutageNanos));
       return true;
     }
-    if (!statement.supersedes(known.statement())) {
+    if (!replaces(statement, known.statement())) {
       return false;
     }
     boolean restarted = statement.startedAtMillis() != known.statement().startedAtMillis();
@@ -148,6 +164,16 @@
     return !sameForRouting(known.statement(), statement);
   }
 
+  /** Returns whether a statement replaces the known one; one of a named service comes first. */
+  private boolean replaces(TargetStatement statement, TargetStatement known) {
+    boolean named = isNamed(statement.service());
+    boolean deregistration = statement.service().isEmpty() || known.service().isEmpty();
+    if (deregistration || named == isNamed(known.service())) {
+      return statement.supersedes(known);
+    }
+    return named;
+  }
+
   private static boolean sameForRouting(TargetStatement a, TargetStatement b) {
     return a.startedAtMillis() == b.startedAtMillis()
         && a.phase() == b.phase()
@@ -244,7 +270,7 @@
   public List<Member> ready(String service, long now) {
     Map<String, Member> byAddress = new HashMap<>();
     for (Member member : members.values()) {
-      if (leaseAge(member, now) < leaseNanos) {
+      if (isNamed(member.statement().service()) && leaseAge(member, now) < leaseNanos) {
         byAddress.merge(member.statement().address(), member, Fleet::latest);
       }
     }
@@ -266,6 +292,7 @@
   public Optional<Member> latestAt(String address) {
     return members.values().stream()
         .filter(m -> m.statement().address().equals(address))
+        .filter(m -> isNamed(m.statement().service()))
         .reduce(Fleet::latest);
   }
 
--- a/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
@@ -39,20 +39,37 @@
     GONE
   }
 
+  /**
+   * A statement that arrives late, by seconds, is at most some numbers behind. One that is further
+   * behind follows a number that the target did not count up to.
+   */
+  private static final long MAX_LATE_STATEMENTS = 10_000;
+
   /**
    * Returns whether this statement replaces another of the same target. A later start wins, then a
    * later phase, then a higher sequence: a target that drains takes new work only after a restart.
    *
+   * <p>Between two starts the service and the address stay the same; a statement that changes them
+   * is not the target's own and replaces nothing. Nor does a sequence far ahead of the target's own
+   * keep these from replacing it.
+   *
    * @param other the statement recorded so far
    */
   public boolean supersedes(TargetStatement other) {
     if (startedAtMillis != other.startedAtMillis) {
       return startedAtMillis > other.startedAtMillis;
     }
+    if (phase != Phase.GONE && startedAtMillis != 0 && !sameEndpoint(other)) {
+      return false;
+    }
     if (phase != other.phase) {
       return phase.compareTo(other.phase) > 0;
     }
-    return sequence > other.sequence;
+    return sequence > other.sequence || other.sequence - sequence > MAX_LATE_STATEMENTS;
+  }
+
+  private boolean sameEndpoint(TargetStatement other) {
+    return address.equals(other.address) && service.equals(other.service);
   }
 
   /**
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -123,4 +123,40 @@
       assertFalse(fleet.member("t").orElseThrow().isSuspect(100));
     }
   }
+
+  /** Statements of another writer under the id of a sound target. */
+  public static class DisplacementTest {
+    private Fleet fleet = new Fleet(LEASE);
+
+    /** Starts each test with a sound target. */
+    @BeforeMethod
+    public void reset() {
+      fleet = new Fleet(LEASE);
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 5), 0);
+    }
+
+    /** A sequence far ahead does not make the target's own statements look late. */
+    @Test
+    public void sequenceFarAheadDoesNotEndTheLease() {
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 1L << 52), 1);
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 6), LEASE);
+      assertEquals(ready(fleet, LEASE + 1), List.of("t"));
+    }
+
+    /** A late statement, some numbers behind, still changes nothing. */
+    @Test
+    public void lateStatementIsIgnored() {
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 3), LEASE - 1);
+      assertEquals(ready(fleet, LEASE), List.of());
+    }
+
+    /** A target does not move within a lifetime. */
+    @Test
+    public void addressStaysTheSameWithinALifetime() {
+      fleet.recordStatement(statement("t", "h:2", Phase.READY, 10, 6), 1);
+      assertEquals(fleet.ready("lm", 2).get(0).statement().address(), "h:1");
+      fleet.recordStatement(statement("t", "h:2", Phase.READY, 20, 1), 2);
+      assertEquals(fleet.ready("lm", 3).get(0).statement().address(), "h:2");
+    }
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -53,13 +53,24 @@
   private final DecisionLog log;
   private final FleetUpdateReader updateReader;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
-  private final Map<String, TargetStatement> statements = new LinkedHashMap<>();
+  private final Map<Lifetime, TargetStatement> statements = new LinkedHashMap<>();
   private final Map<String, EngineReport> reports = new LinkedHashMap<>();
   private DesiredDocument desired = DesiredDocument.NONE;
   private final List<Runnable> pushCallbacks = new ArrayList<>();
   private boolean pushScheduled;
   private long desiredPushedAt = System.nanoTime() - MIN_PUSH_INTERVAL_NANOS;
 
+  /**
+   * What a statement of another writer may differ in from those of the target with its id. Both are
+   * sent, as the subscribers know which services the desired state names.
+   */
+  private record Lifetime(String id, String service, String address, long startedAtMillis) {
+    static Lifetime of(TargetStatement statement) {
+      return new Lifetime(
+          statement.id(), statement.service(), statement.address(), statement.startedAtMillis());
+    }
+  }
+
   private static final class Subscriber {
     long renewedAt;
     long desiredVersion;
@@ -118,7 +129,8 @@
   public void onHeartbeat(TargetStatement statement) {
     fleet.recordContact(System.nanoTime());
     boolean changed = fleet.recordStatement(statement, System.nanoTime());
-    statements.put(statement.id(), statement);
+    statements.merge(
+        Lifetime.of(statement), statement, (sent, next) -> next.supersedes(sent) ? next : sent);
     if (changed) {
       log.write(
           "target",
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -219,6 +219,7 @@
           controlDialect.checkDesired(DocumentCompression.decompress(newest));
       if (checked instanceof DesiredState.Valid valid) {
         latestDesiredState = valid.state();
+        publisher.fleet().services(valid.state().serviceNames());
       }
     }
     return Optional.ofNullable(latestDesiredState);
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -77,6 +77,7 @@
       return false;
     }
     desiredState = next;
+    fleet.services(next.serviceNames());
     return true;
   }
 
