Apply a deregistration to the lifetime that it names

What callers saw: a target that had come back under its id took no requests until its next start, after a late copy of its earlier deregistration.

Cause: the body of Instances.Deregister wasn't read, so that a deregistration ended whichever lifetime was known.

`born` and `seq` are read from the body, if there is one, and go the way of a statement with phase GONE: through FleetPublisher, the update (whose fields suffice) and Fleet. Without `born` it applies to the lifetime that the control VM knows, as before.

--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -140,7 +140,7 @@
    */
   public boolean recordStatement(TargetStatement statement, long receivedAt) {
     Member known = members.get(statement.id());
-    if (statement.phase() == Phase.GONE && statement.startedAtMillis() == 0 && known != null) {
+    if (known != null && isDeregistrationOf(known.statement(), statement)) {
       return recordDeregistration(statement.id(), receivedAt).isPresent()
           && known.statement().phase() != Phase.GONE;
     }
@@ -164,6 +164,11 @@
     return !sameForRouting(known.statement(), statement);
   }
 
+  private static boolean isDeregistrationOf(TargetStatement known, TargetStatement statement) {
+    boolean sameLifetime = statement.startedAtMillis() == known.startedAtMillis();
+    return statement.phase() == Phase.GONE && (statement.startedAtMillis() == 0 || sameLifetime);
+  }
+
   /** Returns whether a statement replaces the known one; one of a named service comes first. */
   private boolean replaces(TargetStatement statement, TargetStatement known) {
     boolean named = isNamed(statement.service());
@@ -182,7 +187,7 @@
   }
 
   /**
-   * Records that a target has deregistered.
+   * Records that the known lifetime of a target has ended.
    *
    * @param id identity of the target
    * @param now current time in nanoseconds of the monotonic clock
--- a/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
@@ -79,7 +79,20 @@
    * @param id identity of the target
    */
   public static TargetStatement deregistered(String id) {
-    return new TargetStatement(id, "", "", "", 0, Phase.GONE, "", null, 0, 0);
+    return deregistered(id, 0, 0);
+  }
+
+  /**
+   * Returns the statement of a target that has deregistered. It applies to the lifetime with the
+   * given start only.
+   *
+   * @param id identity of the target
+   * @param startedAtMillis start of the target in milliseconds of its own wall clock; 0 if unknown,
+   *     for the lifetime that is known when the statement arrives
+   * @param sequence number of the statement; 0 if unknown
+   */
+  public static TargetStatement deregistered(String id, long startedAtMillis, long sequence) {
+    return new TargetStatement(id, "", "", "", 0, Phase.GONE, "", null, startedAtMillis, sequence);
   }
 
   /**
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -54,6 +54,35 @@
       assertEquals(ready(fleet, 4), List.of("t"));
     }
 
+    /** A late deregistration of an earlier lifetime leaves the one that came back in use. */
+    @Test
+    public void lateDeregistrationAppliesToItsLifetimeOnly() {
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 20, 1), 0);
+      assertFalse(fleet.recordStatement(TargetStatement.deregistered("t", 10, 90), 1));
+      assertEquals(ready(fleet, 2), List.of("t"));
+      assertTrue(fleet.recordStatement(TargetStatement.deregistered("t", 20, 91), 3));
+      assertEquals(ready(fleet, 4), List.of());
+    }
+
+    /** A deregistration that overtakes the target's last heartbeats still ends its lifetime. */
+    @Test
+    public void deregistrationBeforeTheFirstStatementApplies() {
+      fleet.recordStatement(TargetStatement.deregistered("t", 10, 3), 0);
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 2), 1);
+      assertEquals(ready(fleet, 2), List.of());
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 20, 1), 3);
+      assertEquals(ready(fleet, 4), List.of("t"));
+    }
+
+    /** A target that left keeps its address from a late statement of an earlier one there. */
+    @Test
+    public void deregistrationKeepsTheAddress() {
+      fleet.recordStatement(statement("old", "h:1", Phase.READY, 10, 1), 0);
+      fleet.recordStatement(statement("new", "h:1", Phase.READY, 20, 1), 1);
+      fleet.recordStatement(TargetStatement.deregistered("new", 20, 2), 2);
+      assertEquals(ready(fleet, 3), List.of());
+    }
+
     /** A deregistration passed on by another VM applies although it states only the id. */
     @Test
     public void appliesDeregistrationFromAnotherVm() {
--- a/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
@@ -77,7 +77,7 @@
       publisher.onHeartbeat(heartbeat.statement());
       reply.accept(HttpEndpoint.text(OK, JSON, EMPTY_OBJECT));
     } else if (call instanceof ControlDialect.Deregistration deregistration) {
-      publisher.onDeregistration(deregistration.id());
+      publisher.onDeregistration(deregistration.statement());
       reply.accept(HttpEndpoint.text(OK, JSON, EMPTY_OBJECT));
     } else if (call instanceof ControlDialect.PutDesired) {
       putDesired(request, reply);
--- a/server/src/main/java/org/clementinesail/server/fleet/ControlDialect.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/ControlDialect.java
@@ -20,9 +20,10 @@
   /**
    * A target deregisters before it stops.
    *
-   * @param id id of the target
+   * @param statement the target with phase {@link TargetStatement.Phase#GONE}; its start is 0 if
+   *     the target did not state it
    */
-  record Deregistration(String id) implements Call {}
+  record Deregistration(TargetStatement statement) implements Call {}
 
   /** An operator submits a version of the desired state in the request body. */
   record PutDesired() implements Call {}
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -153,11 +153,15 @@
   /**
    * Records that a target has deregistered, and sends the change at once.
    *
-   * @param id id of the target
+   * @param statement the target as {@link TargetStatement#deregistered}
    */
-  public void onDeregistration(String id) {
+  public void onDeregistration(TargetStatement statement) {
+    // Without a start it applies to the lifetime that this VM knows, and only to that one
+    // elsewhere.
     onHeartbeat(
-        fleet.recordDeregistration(id, System.nanoTime()).orElse(TargetStatement.deregistered(id)));
+        statement.startedAtMillis() == 0
+            ? fleet.recordDeregistration(statement.id(), System.nanoTime()).orElse(statement)
+            : statement);
     sendUpdate();
   }
 
