Send no new requests to a target that says in an answer that it is leaving

What callers saw: requests still went to a target after it had said so in an answer, until its statement "draining" came by way of the control VMs; a target that never states it was used until it deregistered (DRAIN).

The answer is the earliest news, and the entry VM has it first.

--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -78,6 +78,7 @@
   }
 
   private final Map<String, Member> members = new HashMap<>();
+  private final TargetNotices notices = new TargetNotices();
   private final long leaseNanos;
   private Set<String> services = Set.of();
   private boolean hasContact;
@@ -246,6 +247,17 @@
     }
   }
 
+  /**
+   * Records that a target has stated in an answer that it is leaving. It takes no new work until
+   * its next start, even if a later statement says that it is ready.
+   *
+   * @param target the target that has answered
+   * @return whether that was unknown
+   */
+  public boolean recordLeaving(TargetStatement target) {
+    return notices.recordLeaving(target);
+  }
+
   /**
    * Returns a target, or empty if it is unknown or has been removed.
    *
@@ -282,7 +294,8 @@
     List<Member> ready = new ArrayList<>();
     for (Member member : byAddress.values()) {
       TargetStatement s = member.statement();
-      if (s.phase() == Phase.READY && s.service().equals(service)) {
+      boolean takesWork = s.phase() == Phase.READY && notices.allowsRequests(s);
+      if (takesWork && s.service().equals(service)) {
         ready.add(member);
       }
     }
@@ -322,6 +335,7 @@
       Member member = all.next();
       if (leaseAge(member, now) > leaseNanos + GONE_RETENTION_NANOS) {
         removed.add(member.statement());
+        notices.remove(member.statement().id());
         all.remove();
       }
     }
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -153,6 +153,37 @@
     }
   }
 
+  /** What targets state in answers to this VM. */
+  public static class NoticeTest {
+    private Fleet fleet = new Fleet(LEASE);
+
+    /** Starts each test with one target. */
+    @BeforeMethod
+    public void reset() {
+      fleet = new Fleet(LEASE);
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 5), 0);
+    }
+
+    /** A heartbeat that was sent before the answer does not put a leaving target back into use. */
+    @Test
+    public void leavingLastsUntilTheNextStart() {
+      assertTrue(fleet.recordLeaving(statement("t", "h:1", Phase.READY, 10, 5)));
+      assertFalse(fleet.recordLeaving(statement("t", "h:1", Phase.READY, 10, 6)));
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 7), 1);
+      assertEquals(ready(fleet, 2), List.of());
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 20, 1), 3);
+      assertEquals(ready(fleet, 4), List.of("t"));
+    }
+
+    /** A leaving target keeps its address from an earlier one that is not yet known to be gone. */
+    @Test
+    public void leavingTargetKeepsItsAddress() {
+      fleet.recordStatement(statement("old", "h:1", Phase.READY, 5, 1), 1);
+      fleet.recordLeaving(statement("t", "h:1", Phase.READY, 10, 5));
+      assertEquals(ready(fleet, 2), List.of());
+    }
+  }
+
   /** Statements of another writer under the id of a sound target. */
   public static class DisplacementTest {
     private Fleet fleet = new Fleet(LEASE);
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -152,6 +152,7 @@
     }
     head = response;
     lastProgressAt = System.nanoTime();
+    NoticeReader.read(context, target, response);
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (context.dialect().isRefusal(response)) {
       mode = Mode.REFUSED;
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -53,6 +53,13 @@
    */
   Optional<String> faultyAddress(HttpResponse response);
 
+  /**
+   * Returns whether a response states that its target is leaving and wants no new requests.
+   *
+   * @param response head of the response, of any status
+   */
+  boolean isLeaving(HttpResponse response);
+
   /**
    * Sets the time after which the caller may retry.
    *
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -58,6 +58,11 @@
     return Optional.empty();
   }
 
+  @Override
+  public boolean isLeaving(HttpResponse response) {
+    return "1".equals(response.headers().get("Leaving"));
+  }
+
   @Override
   public void setRetryAfter(HttpHeaders headers, double seconds) {
     headers.set("Retry-After", seconds);
