Send a target no requests until the time that its refusal names

What callers saw: requests went on to a target that had refused with 503 and Retry-After, and were refused again (BUDGET); with all targets of a service in that state, callers waited 250 ms for one and were told to come back after 1.5 to 3 s, whatever the time.

NoticeReader reads the time from the head of a 503 (seconds, maybe with a fraction); Fleet stores its end for the lifetime that answered and leaves the target out until then, as first target and as hop. If no other target can serve the request, it is refused at once, with the time until the first is free again plus at most 2.5 s at random, so that callers don't return together.

--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
 import org.clementinesail.core.targets.LayerRange;
@@ -258,6 +259,16 @@
     return notices.recordLeaving(target);
   }
 
+  /**
+   * Records that a target has stated in a refusal until when it wants no requests of this VM.
+   *
+   * @param target the target that has answered
+   * @param until end of that time, in nanoseconds of the monotonic clock
+   */
+  public void recordDeferral(TargetStatement target, long until) {
+    notices.recordDeferral(target, until);
+  }
+
   /**
    * Returns a target, or empty if it is unknown or has been removed.
    *
@@ -285,21 +296,45 @@
    * @param now current time in nanoseconds of the monotonic clock
    */
   public List<Member> ready(String service, long now) {
+    List<Member> ready = staying(service, now);
+    ready.removeIf(member -> notices.deferredUntil(member.statement(), now).isPresent());
+    return ready;
+  }
+
+  /**
+   * Returns the earliest time at which a target of a service that wants no requests for a time
+   * takes them again, in nanoseconds of the monotonic clock; empty if there is no such target.
+   *
+   * @param service name of the service
+   * @param now current time in nanoseconds of the monotonic clock
+   */
+  public OptionalLong deferredUntil(String service, long now) {
+    return staying(service, now).stream()
+        .map(member -> notices.deferredUntil(member.statement(), now))
+        .filter(OptionalLong::isPresent)
+        .mapToLong(until -> until.getAsLong() - now)
+        .min()
+        .stream()
+        .map(nanos -> now + nanos)
+        .findFirst();
+  }
+
+  /** Returns the targets that take new work, including those that want none for a time. */
+  private List<Member> staying(String service, long now) {
     Map<String, Member> byAddress = new HashMap<>();
     for (Member member : members.values()) {
       if (isNamed(member.statement().service()) && leaseAge(member, now) < leaseNanos) {
         byAddress.merge(member.statement().address(), member, Fleet::latest);
       }
     }
-    List<Member> ready = new ArrayList<>();
+    List<Member> staying = new ArrayList<>();
     for (Member member : byAddress.values()) {
       TargetStatement s = member.statement();
-      boolean takesWork = s.phase() == Phase.READY && notices.allowsRequests(s);
-      if (takesWork && s.service().equals(service)) {
-        ready.add(member);
+      if (s.phase() == Phase.READY && s.service().equals(service) && !notices.isLeaving(s)) {
+        staying.add(member);
       }
     }
-    return ready;
+    return staying;
   }
 
   /**
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -175,6 +175,31 @@
       assertEquals(ready(fleet, 4), List.of("t"));
     }
 
+    /** A target that wants no requests for a time is ready again at its end, not before. */
+    @Test
+    public void deferralEndsByItself() {
+      TargetStatement target = statement("t", "h:1", Phase.READY, 10, 5);
+      fleet.recordDeferral(target, 100);
+      fleet.recordDeferral(target, 60);
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 6), 10);
+      assertEquals(ready(fleet, 99), List.of());
+      assertEquals(fleet.deferredUntil("lm", 99).orElse(0), 100);
+      assertEquals(ready(fleet, 100), List.of("t"));
+      assertTrue(fleet.deferredUntil("lm", 100).isEmpty());
+    }
+
+    /** A restart ends a deferral; of several, the first to end counts. */
+    @Test
+    public void deferralBelongsToALifetime() {
+      fleet.recordDeferral(statement("t", "h:1", Phase.READY, 10, 5), 100);
+      fleet.recordStatement(statement("u", "h:2", Phase.READY, 10, 1), 1);
+      fleet.recordDeferral(statement("u", "h:2", Phase.READY, 10, 1), 80);
+      assertEquals(fleet.deferredUntil("lm", 2).orElse(0), 80);
+      assertEquals(ready(fleet, 2), List.of());
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 20, 1), 3);
+      assertEquals(ready(fleet, 4), List.of("t"));
+    }
+
     /** A leaving target keeps its address from an earlier one that is not yet known to be gone. */
     @Test
     public void leavingTargetKeepsItsAddress() {
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** Reads and writes the header names and formats of callers and targets. */
 public interface Dialect {
@@ -60,6 +61,14 @@
    */
   boolean isLeaving(HttpResponse response);
 
+  /**
+   * Returns for how many seconds the target of a refusal wants no requests; empty if the response
+   * is no refusal of that kind, or if its time is not a number of 0 or more.
+   *
+   * @param response head of the response, of any status
+   */
+  OptionalDouble deferralSeconds(HttpResponse response);
+
   /**
    * Sets the time after which the caller may retry.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -25,9 +25,6 @@
  * the response or an error status that tells whether the request may have run.
  */
 final class Exchange {
-  /** How long a request may wait for a target before it is refused with Retry-After. */
-  private static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
   /** Unrepeatable requests reuse no connection that is idle for longer: it may be stale. */
   private static final long MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -129,11 +126,15 @@
     if (choice.isPresent()) {
       awaitingTarget = false;
       send(choice.get(), chosen.engine());
-    } else if (responseStarted || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
+      return;
+    }
+    var deferral = context.routing().deferralSeconds(chosen, metadata, now);
+    boolean mayWait = deferral.isEmpty() && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
+    if (responseStarted || mayWait) {
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
-      giveUp("no target is available", RETRY_AFTER_SECONDS);
+      giveUp("no target is available", deferral.orElse(RETRY_AFTER_SECONDS));
     }
   }
 
@@ -354,8 +355,7 @@
 
   private void refuse(String reason, double retryAfterSeconds) {
     HttpHeaders headers = HeaderCopies.empty();
-    double seconds = retryAfterSeconds * (1 + context.routing().random().nextDouble());
-    context.dialect().setRetryAfter(headers, seconds);
+    context.dialect().setRetryAfter(headers, context.routing().spread(retryAfterSeconds));
     endWithStatus("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.desired.EngineModel;
@@ -35,6 +38,14 @@
   public record Settings(
       String dataCentre, long leaseNanos, double retryRatio, double retryAllowance) {}
 
+  /** How long a request may wait for a target before it is refused with Retry-After. */
+  static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** Longest time over which the callers that are refused at once are spread at their return. */
+  private static final double MAX_SPREAD_SECONDS = 2.5;
+
   private final Settings settings;
   private final Fleet fleet;
   private final LocalLoad ownLoad = new LocalLoad();
@@ -106,6 +117,11 @@
     }
   }
 
+  /** Returns a delay for a refused caller, longer than needed by a random part, at most twice. */
+  double spread(double seconds) {
+    return seconds + Math.min(seconds, MAX_SPREAD_SECONDS) * random.nextDouble();
+  }
+
   /** Returns the random number generator for routing and retry delays. */
   public RandomGenerator random() {
     return random;
@@ -179,6 +195,18 @@
         .map(path -> new Destination(fleet.member(path.get(0).id()).orElseThrow(), path));
   }
 
+  /**
+   * Returns in how many seconds the first of the targets that want no requests for a time takes
+   * them again, if none of the others can serve a request; empty otherwise.
+   */
+  OptionalDouble deferralSeconds(Service service, RequestMetadata metadata, long now) {
+    OptionalLong until = fleet.deferredUntil(service.name(), now);
+    if (until.isEmpty() || chooseDestination(service, metadata, Set.of(), now).isPresent()) {
+      return OptionalDouble.empty();
+    }
+    return OptionalDouble.of((until.getAsLong() - now) / NANOS_PER_SECOND);
+  }
+
   /** Records a request sent to the engines of a path; returns the load added to each engine. */
   List<LocalLoad.Assignment> recordAssignment(
       List<Hop> path, EngineModel model, TokenEstimate estimate) {
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -2,10 +2,13 @@
 
 import com.google.common.base.Splitter;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.clementinesail.core.placement.PlacementController.Order;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
@@ -63,6 +66,16 @@
     return "1".equals(response.headers().get("Leaving"));
   }
 
+  @Override
+  public OptionalDouble deferralSeconds(HttpResponse response) {
+    String value = response.headers().get(HttpHeaderNames.RETRY_AFTER, "").strip();
+    boolean unavailable = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    // Not every text that Java parses as a number is one here, such as NaN, 1e400 and 0x1p3.
+    return unavailable && value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")
+        ? OptionalDouble.of(Double.parseDouble(value))
+        : OptionalDouble.empty();
+  }
+
   @Override
   public void setRetryAfter(HttpHeaders headers, double seconds) {
     headers.set("Retry-After", seconds);
