Keep the address with the target that was known first at the same start

What callers saw: a copy of a sound target's statement under another id took over the address, and requests were sent with an id that the server answered 421 to, until the target's own next heartbeat, and again with each copy.

Cause: at equal starts the newer statement owned the address. A start is a millisecond of the target's clock; of two ids with one start and one address, one is not the target's. The one that was known first is kept. Without a known start the newer one counts, as before.

FleetTest.copyUnderAnotherIdDoesNotOwnTheAddress on the old code: "t != copy-of-t expected [t] but found [copy-of-t]". After: passes.

--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -78,7 +79,9 @@
     }
   }
 
-  private final Map<String, Member> members = new HashMap<>();
+  /** All targets, those first that were known first. */
+  private final Map<String, Member> members = new LinkedHashMap<>();
+
   private final TargetNotices notices = new TargetNotices();
   private final long leaseNanos;
   private Set<String> services = Set.of();
@@ -349,12 +352,17 @@
         .reduce(Fleet::latest);
   }
 
-  /** Returns the target that started later; at the same start, the one with the newer statement. */
-  private static Member latest(Member a, Member b) {
-    if (a.statement().startedAtMillis() != b.statement().startedAtMillis()) {
-      return a.statement().startedAtMillis() > b.statement().startedAtMillis() ? a : b;
+  /**
+   * Returns the target that started later. At the same start, the one that was known first: the
+   * other states another's start, address included. If no start is known, the newer statement.
+   */
+  private static Member latest(Member first, Member second) {
+    long firstStart = first.statement().startedAtMillis();
+    long secondStart = second.statement().startedAtMillis();
+    if (firstStart != secondStart) {
+      return firstStart > secondStart ? first : second;
     }
-    return a.receivedAt() - b.receivedAt() > 0 ? a : b;
+    return firstStart != 0 || first.receivedAt() - second.receivedAt() > 0 ? first : second;
   }
 
   /**
--- a/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/fleet/FleetTest.java
@@ -235,6 +235,19 @@
       assertEquals(ready(fleet, LEASE), List.of());
     }
 
+    /** A copy of a target's statement under another id does not take over its address. */
+    @Test
+    public void copyUnderAnotherIdDoesNotOwnTheAddress() {
+      for (String id : List.of("a", "z", "copy-of-t")) {
+        fleet.recordStatement(statement(id, "h:1", Phase.READY, 10, 9), 1);
+      }
+      fleet.recordStatement(statement("t", "h:1", Phase.READY, 10, 6), 2);
+      assertEquals(ready(fleet, 3), List.of("t"));
+      fleet.recordStatement(statement("copy-of-t", "h:1", Phase.READY, 10, 10), 4);
+      assertEquals(ready(fleet, 5), List.of("t"));
+      assertEquals(fleet.latestAt("h:1").orElseThrow().statement().id(), "t");
+    }
+
     /** A target does not move within a lifetime. */
     @Test
     public void addressStaysTheSameWithinALifetime() {
