--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -33,7 +33,11 @@
  *
  * <pre>{@code
  * HttpEndpoint.listen(
- *     loop, address, 65_536, log, (request, reply) -> reply.accept(HttpEndpoint.text(200, "x", "ok")));
+ *     loop,
+ *     address,
+ *     65_536,
+ *     log,
+ *     (request, reply) -> reply.accept(HttpEndpoint.text(200, "x", "ok")));
  * }</pre>
  */
 public final class HttpEndpoint {
