Keep the crashes that count separately when many targets crash at once

Callers: while a quarter of a route's requests had a part that crashes engines, the part was let through again and again. Cause: a record keeps the last eight crashes; when many engines crash within 100 ms, these count once and displaced the earlier ones, so that one separate crash was left and the refusal ended. Evidence: PartCrashesTest.simultaneousCrashesDoNotEndRefusal failed before (expected true but found false). A record now drops crashes that do not count separately first, and keeps 32, so that other parts' records can still be told to have been beside it.

--- a/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
@@ -19,7 +19,7 @@
  */
 public record CrashRecord(long key, List<Crash> crashes, OptionalLong answeredAt) {
   /** Crashes kept for each part; more would not extend the time that it is refused. */
-  private static final int MAX_CRASHES = 8;
+  private static final int MAX_CRASHES = 32;
 
   /** Separate crashes after which a part is refused. Two may hit an innocent part by chance. */
   private static final int MIN_CRASHES = 3;
@@ -83,12 +83,27 @@
     }
     merged.removeIf(c -> answered.isPresent() && answered.getAsLong() - c.crashedAt() >= 0);
     merged.sort((a, b) -> Long.signum(a.crashedAt() - b.crashedAt()));
-    int surplus = Math.max(0, merged.size() - MAX_CRASHES);
-    return new CrashRecord(key, merged.subList(surplus, merged.size()), answered);
+    while (merged.size() > MAX_CRASHES) {
+      merged.remove(leastTelling(merged));
+    }
+    return new CrashRecord(key, merged, answered);
+  }
+
+  /** Returns the oldest crash that does not count separately, or else the oldest. */
+  private static Crash leastTelling(List<Crash> crashes) {
+    List<Crash> separate = separate(crashes);
+    return crashes.stream()
+        .filter(crash -> !separate.contains(crash))
+        .findFirst()
+        .orElse(crashes.get(0));
   }
 
   /** Returns the crashes that count separately, in order of time. */
   List<Crash> separateCrashes() {
+    return separate(crashes);
+  }
+
+  private static List<Crash> separate(List<Crash> crashes) {
     List<Crash> separate = new ArrayList<>();
     for (Crash crash : crashes) {
       if (separate.isEmpty() || crash.isSeparateFrom(separate.get(separate.size() - 1))) {
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -73,6 +73,16 @@
       assertFalse(refused(parts, 200));
     }
 
+    /** A wave of crashes does not displace the crashes before it, which count separately. */
+    @Test
+    public void simultaneousCrashesDoNotEndRefusal() {
+      PartCrashes parts = afterThreeCrashes();
+      for (int i = 0; i < 40; i++) {
+        parts.recordCrash(PART, crash("f" + i, 950, 2_000 + i));
+      }
+      assertTrue(refused(parts, 2_100));
+    }
+
     /** A refused part is tried again, by one request; its crash extends the refusal. */
     @Test
     public void refusedPartIsTriedAgain() {
