Drop records of refused parts last

Callers: a part that crashes engines may be let through again after many engines were lost for another reason. Cause: the 1,024 records of a VM were dropped by the time of their last change only; a lost engine adds a record for each part and each request on it. Records with the fewest separate crashes are now dropped first, then the oldest.

--- a/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
@@ -3,6 +3,7 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +25,7 @@
  * }</pre>
  */
 public final class PartCrashes {
-  /** Records kept; a crash adds a few. The ones that changed least recently are dropped. */
+  /** Records kept. The ones with the fewest separate crashes are dropped first, then the oldest. */
   private static final int MAX_RECORDS = 1_024;
 
   /** Parts whose last answer is remembered, the latest: those of some minutes on one VM. */
@@ -201,8 +202,10 @@
     records.values().removeIf(record -> age(record, now) > RETENTION_NANOS);
     if (records.size() > MAX_RECORDS) {
       records.values().stream()
-          .max((a, b) -> Long.compare(age(a, now), age(b, now)))
-          .ifPresent(oldest -> records.remove(oldest.key()));
+          .min(
+              Comparator.comparingInt((CrashRecord record) -> record.separateCrashes().size())
+                  .thenComparingLong(record -> -age(record, now)))
+          .ifPresent(dropped -> records.remove(dropped.key()));
     }
     trials.keySet().retainAll(records.keySet());
   }
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -113,6 +113,16 @@
       assertTrue(parts.refusedUntil(List.of(2L), at(600)).isPresent());
     }
 
+    /** Records of parts that were beside a crash do not displace that of a refused part. */
+    @Test
+    public void refusedPartIsNotDisplaced() {
+      PartCrashes parts = afterThreeCrashes();
+      for (int i = 0; i < 3_000; i++) {
+        parts.recordCrash(1_000 + i, crash("f" + i % 10, 1_000, 2_000 + i % 10));
+      }
+      assertTrue(refused(parts, 2_100));
+    }
+
     /** Memory stays bounded when parts never repeat. */
     @Test
     public void recordsAreBounded() {
