Clear crashes that a VM hears of after it saw the part answered

Callers: requests with a sound part may be refused for 30 s although a VM had just answered one. Cause: a VM told its last answer only if no answer of the part was known to anyone; if an older one was, the crashes in between stood. An answer that clears crashes is now always told.

--- a/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
@@ -112,19 +112,19 @@
   }
 
   /**
-   * Adds to a record that has become suspect when this VM saw the part answered.
+   * Adds to a record when this VM saw the part answered, if that clears crashes that other VMs saw,
+   * or if the part is suspect and no answer is known.
    *
    * @param key a part
    * @param now current time in nanoseconds of the monotonic clock
-   * @return the record if that was not known before, for the other VMs
+   * @return the record if it changed, for the other VMs
    */
   public Optional<CrashRecord> recallAnswer(long key, long now) {
     CrashRecord known = record(key);
-    if (known.answeredAt().isPresent() || known.separateCrashes().size() < MIN_RECALL_CRASHES) {
-      return Optional.empty();
-    }
     CrashRecord recalled = withLastAnswer(known);
-    if (recalled.answeredAt().isEmpty()) {
+    boolean clears = recalled.crashes().size() < known.crashes().size();
+    boolean first = known.answeredAt().isEmpty() && recalled.answeredAt().isPresent();
+    if (!clears && (!first || known.separateCrashes().size() < MIN_RECALL_CRASHES)) {
       return Optional.empty();
     }
     store(recalled, now);
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -138,6 +138,24 @@
 
   /** What VMs tell each other. */
   public static final class MergeTest {
+    /** A VM that answered a part after crashes it had not heard of yet clears them once it does. */
+    @Test
+    public void answerAfterCrashesHeardOfLaterClears() {
+      PartCrashes other = new PartCrashes();
+      other.recordAnswer(List.of(PART), at(-100));
+      PartCrashes parts = new PartCrashes();
+      parts.recordAnswer(List.of(PART), at(1_000));
+      for (int i = 0; i < 3; i++) {
+        other.recordCrash(PART, crash("e" + i, 200L * i, 200L * i + 70));
+      }
+      assertTrue(refused(other, 1_001));
+      parts.merge(other.records().get(0), at(2_000));
+      CrashRecord recalled = parts.recallAnswer(PART, at(2_001)).orElseThrow();
+      assertFalse(refused(parts, 2_002));
+      other.merge(recalled, at(2_002));
+      assertFalse(refused(other, 2_003));
+    }
+
     /** Crashes seen by different VMs add up; the same crash counts once, an old record nothing. */
     @Test
     public void crashesOfAllVmsCount() {
