Keep a part refused after any number of crashes

Callers: from the 32nd separate crash on a part that crashes engines is let through. Cause: the refusal doubles with each crash, and since records keep 32 crashes the shift overflows to a negative time. Evidence: PartCrashesTest.manyCrashesDoNotEndRefusal failed before (crash 31, expected true but found false); not seen in a play. The number of doublings is now limited.

--- a/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
@@ -30,6 +30,9 @@
   /** How long a part is refused at first; each further crash doubles it. */
   private static final long REFUSAL_NANOS = 30_000_000_000L;
 
+  /** Limit that avoids an overflow. */
+  private static final int MAX_DOUBLINGS = 16;
+
   /** Longest time for which a part is refused before it is tried again. */
   private static final long MAX_REFUSAL_NANOS = 300_000_000_000L;
 
@@ -118,7 +121,8 @@
     if (separate.size() < MIN_CRASHES) {
       return OptionalLong.empty();
     }
-    long nanos = Math.min(REFUSAL_NANOS << (separate.size() - MIN_CRASHES), MAX_REFUSAL_NANOS);
+    int doublings = Math.min(separate.size() - MIN_CRASHES, MAX_DOUBLINGS);
+    long nanos = Math.min(REFUSAL_NANOS << doublings, MAX_REFUSAL_NANOS);
     return OptionalLong.of(separate.get(separate.size() - 1).crashedAt() + nanos);
   }
 
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -73,6 +73,16 @@
       assertFalse(refused(parts, 200));
     }
 
+    /** Crashes without end, as from requests of VMs that are cut off, do not end a refusal. */
+    @Test
+    public void manyCrashesDoNotEndRefusal() {
+      PartCrashes parts = new PartCrashes();
+      for (int i = 0; i < 100; i++) {
+        parts.recordCrash(PART, crash("e" + i, 200L * i, 200L * i + 70));
+        assertEquals(refused(parts, 200L * i + 71), i >= 2, "crash " + i);
+      }
+    }
+
     /** A wave of crashes does not displace the crashes before it, which count separately. */
     @Test
     public void simultaneousCrashesDoNotEndRefusal() {
