Clear a part that crashes engines by a success only

Callers: while engines answer some requests with 500, a part that crashes engines is let through more often. Cause: any complete answer cleared the crashes of a request's parts, also a failure that the engine gave before it ran the request. Only a 2xx answer clears parts now.

--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -267,7 +267,7 @@
 
   void sendWholeResponse(HttpResponse response, ByteBuf content) {
     if (!finished) {
-      partGuard.onAnswered();
+      partGuard.onAnswered(response.status());
     }
     if (finish("answered")) {
       caller.sendResponse(response.status(), HeaderCopies.ofResponse(response.headers()), content);
@@ -283,7 +283,7 @@
     }
     if (!responseStarted) {
       responseStarted = true;
-      partGuard.onAnswered();
+      partGuard.onAnswered(response.status());
       context.metrics().recordFirstEvent(routeName(), System.nanoTime() - receivedAt);
       caller.begin(response.status(), HeaderCopies.ofResponse(response.headers()));
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -48,9 +50,9 @@
     }
   }
 
-  /** Called when an engine has begun to answer. */
-  void onAnswered() {
-    if (!answered) {
+  /** Called when an engine has begun to answer; a failure may come from before it ran. */
+  void onAnswered(HttpResponseStatus status) {
+    if (!answered && status.codeClass() == HttpStatusClass.SUCCESS) {
       answered = true;
       crashes.recordAnswer(crashes.isEmpty() ? sharedKeys() : keys());
     }
--- a/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
@@ -141,6 +141,8 @@
       return IdleEngineDialect.REPORT_RESPONSE;
     } else if (request.contains("lost")) {
       return ScriptedTarget.CLOSE;
+    } else if (request.contains("failing")) {
+      return "HTTP/1.1 500 Error\r\nProof: p\r\nContent-Length: 0\r\n\r\n";
     } else if (!request.contains("deadly")) {
       return STREAM;
     }
@@ -225,6 +227,17 @@
     assertEquals(deadlySent(), 0);
   }
 
+  /** A failure status says nothing of a part; it does not clear it. */
+  @Test
+  public void failureBetweenCrashesDoesNotClearPart() throws Exception {
+    call("preamble,deadly");
+    assertEquals(crashed.size(), 2);
+    assertEquals(status("preamble,deadly,failing"), 500);
+    call("preamble,deadly");
+    assertEquals(status("preamble,deadly"), 503);
+    assertEquals(crashed.size(), 3);
+  }
+
   /** Engines that lose answers and go on reporting are not taken for crashed ones. */
   @Test
   public void lostAnswersAreNoCrashes() throws Exception {
