Let the VMs of a site try a refused part one after the other, and seldom

Callers: all requests on engines that a trial crashes lose their streams, and the site is slow until the engines have their layers again. Cause: the refusal of a part ends on all VMs at the same moment, and each lets one request through, every 30 to 300 s without end.

Each VM now adds a delay to the end of a refusal, drawn anew at each crash, so that VMs follow each other by 10 s on average and hear of a crash before they try. Records outlive the refusal. An answer still clears a part at once.

--- a/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
@@ -36,6 +36,12 @@
   /** Longest time for which a part is refused before it is tried again. */
   private static final long MAX_REFUSAL_NANOS = 300_000_000_000L;
 
+  /** Crashes of trials after which a part is refused for longer, as no more are risked. */
+  private static final int MAX_FAILED_TRIALS = 2;
+
+  /** How long a part is refused after the last trial. */
+  private static final long FINAL_REFUSAL_NANOS = 86_400_000_000_000L;
+
   /**
    * A crash of a target before it answered a request.
    *
@@ -122,10 +128,27 @@
       return OptionalLong.empty();
     }
     int doublings = Math.min(separate.size() - MIN_CRASHES, MAX_DOUBLINGS);
-    long nanos = Math.min(REFUSAL_NANOS << doublings, MAX_REFUSAL_NANOS);
+    long nanos =
+        failedTrials(separate) < MAX_FAILED_TRIALS
+            ? Math.min(REFUSAL_NANOS << doublings, MAX_REFUSAL_NANOS)
+            : FINAL_REFUSAL_NANOS;
     return OptionalLong.of(separate.get(separate.size() - 1).crashedAt() + nanos);
   }
 
+  /** Returns how many crashes followed the end of a refusal; those beside them do not count. */
+  private static int failedTrials(List<Crash> separate) {
+    int failed = 0;
+    for (int i = MIN_CRASHES; i < separate.size(); i++) {
+      failed += separate.get(i).sentAt() - separate.get(i - 1).crashedAt() >= REFUSAL_NANOS ? 1 : 0;
+    }
+    return failed;
+  }
+
+  /** Returns when the record last changed, or later, the end of a refusal; empty if unknown. */
+  OptionalLong lastUseAt() {
+    return later(latestAt(), refusedUntil(separateCrashes()));
+  }
+
   /** Returns when the record last changed; empty if nothing is known. */
   OptionalLong latestAt() {
     OptionalLong lastCrash =
--- a/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
 
 /**
  * Decides which requests to refuse because a part of them crashes targets.
@@ -16,8 +18,9 @@
  * <p>Handles a load in which requests that are no two alike share one part, come at any VM and
  * crash each target that begins to answer them, among sound requests that share their other parts.
  * VMs exchange their records, so that all refuse the part within a moment of the third crash. Only
- * parts that were in a request at a crash are recorded. A refused part is tried again later, one
- * request at a time on each VM. The class is not thread-safe.
+ * parts that were in a request at a crash are recorded. A refused part is tried again later, by one
+ * VM after the other, so that the others hear of a further crash before they try. The class is not
+ * thread-safe.
  *
  * <pre>{@code
  * parts.recordCrash(key, new CrashRecord.Crash("e1@0", sentAt, now));
@@ -31,7 +34,7 @@
   /** Parts whose last answer is remembered, the latest: those of some minutes on one VM. */
   private static final int MAX_ANSWERED = 8_192;
 
-  /** How long a record is kept after its last change. */
+  /** How long a record is kept after its last change or the end of a refusal. */
   private static final long RETENTION_NANOS = 600_000_000_000L;
 
   /** Crashes of a part after which VMs tell when they saw it answered; one crash says little. */
@@ -40,11 +43,32 @@
   /** Time between two requests that try a part again; longer than the wait for a first answer. */
   private static final long TRIAL_INTERVAL_NANOS = 2_000_000_000L;
 
+  /** Time between the first trials of two VMs; longer than a crash takes to be known to all. */
+  private static final long TRIAL_SPACING_NANOS = 10_000_000_000L;
+
+  private final IntSupplier vms;
+  private final long seed;
   private final Map<Long, CrashRecord> records = new HashMap<>();
   private final Map<Long, Long> trials = new HashMap<>();
   private final Cache<Long, Long> answered =
       CacheBuilder.newBuilder().maximumSize(MAX_ANSWERED).concurrencyLevel(1).build();
 
+  /** Creates an empty set of records on a VM that sends no requests, or is the only one. */
+  public PartCrashes() {
+    this(() -> 1, 0);
+  }
+
+  /**
+   * Creates an empty set of records.
+   *
+   * @param vms supplies how many VMs may try refused parts again
+   * @param seed differs between these VMs, so that they do so at different times
+   */
+  public PartCrashes(IntSupplier vms, long seed) {
+    this.vms = vms;
+    this.seed = seed;
+  }
+
   /** Returns whether nothing is recorded, so that all requests are admitted. */
   public boolean isEmpty() {
     return records.isEmpty();
@@ -172,10 +196,21 @@
     if (CrashRecord.refusedUntil(separate).isEmpty()) {
       return OptionalLong.empty();
     }
-    return CrashRecord.refusedUntil(
-        separate.stream()
-            .filter(c -> !hasStrongerSuspect(c, record(key), separate.size()))
-            .toList());
+    OptionalLong until =
+        CrashRecord.refusedUntil(
+            separate.stream()
+                .filter(c -> !hasStrongerSuspect(c, record(key), separate.size()))
+                .toList());
+    return until.isEmpty()
+        ? until
+        : OptionalLong.of(
+            until.getAsLong() + (long) (vmsAhead(key, separate.size()) * TRIAL_SPACING_NANOS));
+  }
+
+  /** Returns how many VMs on average may try a part before this one; drawn anew at each crash. */
+  private double vmsAhead(long key, int crashes) {
+    double position = new SplittableRandom(seed ^ key * (crashes + 1)).nextDouble();
+    return position * (vms.getAsInt() - 1);
   }
 
   /**
@@ -199,7 +234,7 @@
 
   private void store(CrashRecord next, long now) {
     records.put(next.key(), next);
-    records.values().removeIf(record -> age(record, now) > RETENTION_NANOS);
+    records.values().removeIf(record -> now - record.lastUseAt().orElse(now) > RETENTION_NANOS);
     if (records.size() > MAX_RECORDS) {
       records.values().stream()
           .min(
--- a/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
@@ -27,14 +27,15 @@
   private final EventLoop loop;
   private final FaultDetector faults;
   private final DecisionLog log;
-  private final PartCrashes parts = new PartCrashes();
+  private final PartCrashes parts;
   private final Map<Long, CrashRecord> unsent = new HashMap<>();
   private Consumer<List<CrashRecord>> sender = records -> {};
 
-  CrashReports(EventLoop loop, FaultDetector faults, DecisionLog log) {
+  CrashReports(EventLoop loop, FaultDetector faults, RoutingState routing, DecisionLog log) {
     this.loop = loop;
     this.faults = faults;
     this.log = log;
+    this.parts = new PartCrashes(routing::trafficVms, routing.random().nextLong());
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -81,7 +81,7 @@
             routing,
             pool,
             faults,
-            new CrashReports(loop, faults, log),
+            new CrashReports(loop, faults, routing, log),
             startupWait,
             metrics,
             log);
