--- a/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
@@ -19,7 +19,7 @@
  */
 public record CrashRecord(long key, List<Crash> crashes, OptionalLong answeredAt) {
   /** Crashes kept for each part; more would not extend the time that it is refused. */
-  private static final int MAX_CRASHES = 8;
+  private static final int MAX_CRASHES = 32;
 
   /** Separate crashes after which a part is refused. Two may hit an innocent part by chance. */
   private static final int MIN_CRASHES = 3;
@@ -30,9 +30,18 @@
   /** How long a part is refused at first; each further crash doubles it. */
   private static final long REFUSAL_NANOS = 30_000_000_000L;
 
+  /** Limit that avoids an overflow. */
+  private static final int MAX_DOUBLINGS = 16;
+
   /** Longest time for which a part is refused before it is tried again. */
   private static final long MAX_REFUSAL_NANOS = 300_000_000_000L;
 
+  /** Crashes of trials after which a part is refused for longer, as no more are risked. */
+  private static final int MAX_FAILED_TRIALS = 2;
+
+  /** How long a part is refused after the last trial. */
+  private static final long FINAL_REFUSAL_NANOS = 86_400_000_000_000L;
+
   /**
    * A crash of a target before it answered a request.
    *
@@ -83,12 +92,27 @@
     }
     merged.removeIf(c -> answered.isPresent() && answered.getAsLong() - c.crashedAt() >= 0);
     merged.sort((a, b) -> Long.signum(a.crashedAt() - b.crashedAt()));
-    int surplus = Math.max(0, merged.size() - MAX_CRASHES);
-    return new CrashRecord(key, merged.subList(surplus, merged.size()), answered);
+    while (merged.size() > MAX_CRASHES) {
+      merged.remove(leastTelling(merged));
+    }
+    return new CrashRecord(key, merged, answered);
+  }
+
+  /** Returns the oldest crash that does not count separately, or else the oldest. */
+  private static Crash leastTelling(List<Crash> crashes) {
+    List<Crash> separate = separate(crashes);
+    return crashes.stream()
+        .filter(crash -> !separate.contains(crash))
+        .findFirst()
+        .orElse(crashes.get(0));
   }
 
   /** Returns the crashes that count separately, in order of time. */
   List<Crash> separateCrashes() {
+    return separate(crashes);
+  }
+
+  private static List<Crash> separate(List<Crash> crashes) {
     List<Crash> separate = new ArrayList<>();
     for (Crash crash : crashes) {
       if (separate.isEmpty() || crash.isSeparateFrom(separate.get(separate.size() - 1))) {
@@ -103,10 +127,28 @@
     if (separate.size() < MIN_CRASHES) {
       return OptionalLong.empty();
     }
-    long nanos = Math.min(REFUSAL_NANOS << (separate.size() - MIN_CRASHES), MAX_REFUSAL_NANOS);
+    int doublings = Math.min(separate.size() - MIN_CRASHES, MAX_DOUBLINGS);
+    long nanos =
+        failedTrials(separate) < MAX_FAILED_TRIALS
+            ? Math.min(REFUSAL_NANOS << doublings, MAX_REFUSAL_NANOS)
+            : FINAL_REFUSAL_NANOS;
     return OptionalLong.of(separate.get(separate.size() - 1).crashedAt() + nanos);
   }
 
+  /** Returns how many crashes followed the end of a refusal; those beside them do not count. */
+  private static int failedTrials(List<Crash> separate) {
+    int failed = 0;
+    for (int i = MIN_CRASHES; i < separate.size(); i++) {
+      failed += separate.get(i).sentAt() - separate.get(i - 1).crashedAt() >= REFUSAL_NANOS ? 1 : 0;
+    }
+    return failed;
+  }
+
+  /** Returns when the record last changed, or later, the end of a refusal; empty if unknown. */
+  OptionalLong lastUseAt() {
+    return later(latestAt(), refusedUntil(separateCrashes()));
+  }
+
   /** Returns when the record last changed; empty if nothing is known. */
   OptionalLong latestAt() {
     OptionalLong lastCrash =
--- a/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/Fleet.java
@@ -4,10 +4,13 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
 import org.clementinesail.core.targets.LayerRange;
 import org.jspecify.annotations.Nullable;
@@ -76,8 +79,12 @@
     }
   }
 
-  private final Map<String, Member> members = new HashMap<>();
+  /** All targets, those first that were known first. */
+  private final Map<String, Member> members = new LinkedHashMap<>();
+
+  private final TargetNotices notices = new TargetNotices();
   private final long leaseNanos;
+  private Set<String> services = Set.of();
   private boolean hasContact;
   private long lastContactAt;
   private long pastOutageNanos;
@@ -91,6 +98,20 @@
     this.leaseNanos = leaseNanos;
   }
 
+  /**
+   * Sets the services of the desired state. Targets of other services are kept, since a desired
+   * state may name theirs later, but displace no target of these services.
+   *
+   * @param names names of the services; if empty, none is preferred
+   */
+  public void services(Set<String> names) {
+    services = Set.copyOf(names);
+  }
+
+  private boolean isNamed(String service) {
+    return services.isEmpty() || services.contains(service);
+  }
+
   /**
    * Records that statements reach this VM. While none do, the leases of all targets pause: the
    * targets may be healthy and only this VM's sources of statements have failed.
@@ -124,7 +145,7 @@
    */
   public boolean recordStatement(TargetStatement statement, long receivedAt) {
     Member known = members.get(statement.id());
-    if (statement.phase() == Phase.GONE && statement.startedAtMillis() == 0 && known != null) {
+    if (known != null && isDeregistrationOf(known.statement(), statement)) {
       return recordDeregistration(statement.id(), receivedAt).isPresent()
           && known.statement().phase() != Phase.GONE;
     }
@@ -133,7 +154,7 @@
           statement.id(), new Member(statement, receivedAt, null, receivedAt - 1, pastOutageNanos));
       return true;
     }
-    if (!statement.supersedes(known.statement())) {
+    if (!replaces(statement, known.statement())) {
       return false;
     }
     boolean restarted = statement.startedAtMillis() != known.statement().startedAtMillis();
@@ -148,6 +169,21 @@
     return !sameForRouting(known.statement(), statement);
   }
 
+  private static boolean isDeregistrationOf(TargetStatement known, TargetStatement statement) {
+    boolean sameLifetime = statement.startedAtMillis() == known.startedAtMillis();
+    return statement.phase() == Phase.GONE && (statement.startedAtMillis() == 0 || sameLifetime);
+  }
+
+  /** Returns whether a statement replaces the known one; one of a named service comes first. */
+  private boolean replaces(TargetStatement statement, TargetStatement known) {
+    boolean named = isNamed(statement.service());
+    boolean deregistration = statement.service().isEmpty() || known.service().isEmpty();
+    if (deregistration || named == isNamed(known.service())) {
+      return statement.supersedes(known);
+    }
+    return named;
+  }
+
   private static boolean sameForRouting(TargetStatement a, TargetStatement b) {
     return a.startedAtMillis() == b.startedAtMillis()
         && a.phase() == b.phase()
@@ -156,7 +192,7 @@
   }
 
   /**
-   * Records that a target has deregistered.
+   * Records that the known lifetime of a target has ended.
    *
    * @param id identity of the target
    * @param now current time in nanoseconds of the monotonic clock
@@ -215,6 +251,27 @@
     }
   }
 
+  /**
+   * Records that a target has stated in an answer that it is leaving. It takes no new work until
+   * its next start, even if a later statement says that it is ready.
+   *
+   * @param target the target that has answered
+   * @return whether that was unknown
+   */
+  public boolean recordLeaving(TargetStatement target) {
+    return notices.recordLeaving(target);
+  }
+
+  /**
+   * Records that a target has stated in a refusal until when it wants no requests of this VM.
+   *
+   * @param target the target that has answered
+   * @param until end of that time, in nanoseconds of the monotonic clock
+   */
+  public void recordDeferral(TargetStatement target, long until) {
+    notices.recordDeferral(target, until);
+  }
+
   /**
    * Returns a target, or empty if it is unknown or has been removed.
    *
@@ -242,20 +299,45 @@
    * @param now current time in nanoseconds of the monotonic clock
    */
   public List<Member> ready(String service, long now) {
+    List<Member> ready = staying(service, now);
+    ready.removeIf(member -> notices.deferredUntil(member.statement(), now).isPresent());
+    return ready;
+  }
+
+  /**
+   * Returns the earliest time at which a target of a service that wants no requests for a time
+   * takes them again, in nanoseconds of the monotonic clock; empty if there is no such target.
+   *
+   * @param service name of the service
+   * @param now current time in nanoseconds of the monotonic clock
+   */
+  public OptionalLong deferredUntil(String service, long now) {
+    return staying(service, now).stream()
+        .map(member -> notices.deferredUntil(member.statement(), now))
+        .filter(OptionalLong::isPresent)
+        .mapToLong(until -> until.getAsLong() - now)
+        .min()
+        .stream()
+        .map(nanos -> now + nanos)
+        .findFirst();
+  }
+
+  /** Returns the targets that take new work, including those that want none for a time. */
+  private List<Member> staying(String service, long now) {
     Map<String, Member> byAddress = new HashMap<>();
     for (Member member : members.values()) {
-      if (leaseAge(member, now) < leaseNanos) {
+      if (isNamed(member.statement().service()) && leaseAge(member, now) < leaseNanos) {
         byAddress.merge(member.statement().address(), member, Fleet::latest);
       }
     }
-    List<Member> ready = new ArrayList<>();
+    List<Member> staying = new ArrayList<>();
     for (Member member : byAddress.values()) {
       TargetStatement s = member.statement();
-      if (s.phase() == Phase.READY && s.service().equals(service)) {
-        ready.add(member);
+      if (s.phase() == Phase.READY && s.service().equals(service) && !notices.isLeaving(s)) {
+        staying.add(member);
       }
     }
-    return ready;
+    return staying;
   }
 
   /**
@@ -266,15 +348,21 @@
   public Optional<Member> latestAt(String address) {
     return members.values().stream()
         .filter(m -> m.statement().address().equals(address))
+        .filter(m -> isNamed(m.statement().service()))
         .reduce(Fleet::latest);
   }
 
-  /** Returns the target that started later; at the same start, the one with the newer statement. */
-  private static Member latest(Member a, Member b) {
-    if (a.statement().startedAtMillis() != b.statement().startedAtMillis()) {
-      return a.statement().startedAtMillis() > b.statement().startedAtMillis() ? a : b;
+  /**
+   * Returns the target that started later. At the same start, the one that was known first: the
+   * other states another's start, address included. If no start is known, the newer statement.
+   */
+  private static Member latest(Member first, Member second) {
+    long firstStart = first.statement().startedAtMillis();
+    long secondStart = second.statement().startedAtMillis();
+    if (firstStart != secondStart) {
+      return firstStart > secondStart ? first : second;
     }
-    return a.receivedAt() - b.receivedAt() > 0 ? a : b;
+    return firstStart != 0 || first.receivedAt() - second.receivedAt() > 0 ? first : second;
   }
 
   /**
@@ -290,6 +378,7 @@
       Member member = all.next();
       if (leaseAge(member, now) > leaseNanos + GONE_RETENTION_NANOS) {
         removed.add(member.statement());
+        notices.remove(member.statement().id());
         all.remove();
       }
     }
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -73,6 +73,26 @@
       assertFalse(refused(parts, 200));
     }
 
+    /** Crashes without end, as from requests of VMs that are cut off, do not end a refusal. */
+    @Test
+    public void manyCrashesDoNotEndRefusal() {
+      PartCrashes parts = new PartCrashes();
+      for (int i = 0; i < 100; i++) {
+        parts.recordCrash(PART, crash("e" + i, 200L * i, 200L * i + 70));
+        assertEquals(refused(parts, 200L * i + 71), i >= 2, "crash " + i);
+      }
+    }
+
+    /** A wave of crashes does not displace the crashes before it, which count separately. */
+    @Test
+    public void simultaneousCrashesDoNotEndRefusal() {
+      PartCrashes parts = afterThreeCrashes();
+      for (int i = 0; i < 40; i++) {
+        parts.recordCrash(PART, crash("f" + i, 950, 2_000 + i));
+      }
+      assertTrue(refused(parts, 2_100));
+    }
+
     /** A refused part is tried again, by one request; its crash extends the refusal. */
     @Test
     public void refusedPartIsTriedAgain() {
@@ -103,6 +123,16 @@
       assertTrue(parts.refusedUntil(List.of(2L), at(600)).isPresent());
     }
 
+    /** Records of parts that were beside a crash do not displace that of a refused part. */
+    @Test
+    public void refusedPartIsNotDisplaced() {
+      PartCrashes parts = afterThreeCrashes();
+      for (int i = 0; i < 3_000; i++) {
+        parts.recordCrash(1_000 + i, crash("f" + i % 10, 1_000, 2_000 + i % 10));
+      }
+      assertTrue(refused(parts, 2_100));
+    }
+
     /** Memory stays bounded when parts never repeat. */
     @Test
     public void recordsAreBounded() {
@@ -118,6 +148,24 @@
 
   /** What VMs tell each other. */
   public static final class MergeTest {
+    /** A VM that answered a part after crashes it had not heard of yet clears them once it does. */
+    @Test
+    public void answerAfterCrashesHeardOfLaterClears() {
+      PartCrashes other = new PartCrashes();
+      other.recordAnswer(List.of(PART), at(-100));
+      PartCrashes parts = new PartCrashes();
+      parts.recordAnswer(List.of(PART), at(1_000));
+      for (int i = 0; i < 3; i++) {
+        other.recordCrash(PART, crash("e" + i, 200L * i, 200L * i + 70));
+      }
+      assertTrue(refused(other, 1_001));
+      parts.merge(other.records().get(0), at(2_000));
+      CrashRecord recalled = parts.recallAnswer(PART, at(2_001)).orElseThrow();
+      assertFalse(refused(parts, 2_002));
+      other.merge(recalled, at(2_002));
+      assertFalse(refused(other, 2_003));
+    }
+
     /** Crashes seen by different VMs add up; the same crash counts once, an old record nothing. */
     @Test
     public void crashesOfAllVmsCount() {
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -51,14 +51,26 @@
   private final BooleanSupplier isLeader;
   private final BooleanSupplier leaderKnown;
   private final DecisionLog log;
+  private final FleetUpdateReader updateReader;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
-  private final Map<String, TargetStatement> statements = new LinkedHashMap<>();
+  private final Map<Lifetime, TargetStatement> statements = new LinkedHashMap<>();
   private final Map<String, EngineReport> reports = new LinkedHashMap<>();
   private DesiredDocument desired = DesiredDocument.NONE;
   private final List<Runnable> pushCallbacks = new ArrayList<>();
   private boolean pushScheduled;
   private long desiredPushedAt = System.nanoTime() - MIN_PUSH_INTERVAL_NANOS;
 
+  /**
+   * What a statement of another writer may differ in from those of the target with its id. Both are
+   * sent, as the subscribers know which services the desired state names.
+   */
+  private record Lifetime(String id, String service, String address, long startedAtMillis) {
+    static Lifetime of(TargetStatement statement) {
+      return new Lifetime(
+          statement.id(), statement.service(), statement.address(), statement.startedAtMillis());
+    }
+  }
+
   private static final class Subscriber {
     long renewedAt;
     long desiredVersion;
@@ -92,6 +104,7 @@
     this.isLeader = isLeader;
     this.leaderKnown = leaderKnown;
     this.log = log;
+    this.updateReader = new FleetUpdateReader(log);
   }
 
   /** Starts to send updates. */
@@ -116,7 +129,8 @@
   public void onHeartbeat(TargetStatement statement) {
     fleet.recordContact(System.nanoTime());
     boolean changed = fleet.recordStatement(statement, System.nanoTime());
-    statements.put(statement.id(), statement);
+    statements.merge(
+        Lifetime.of(statement), statement, (sent, next) -> next.supersedes(sent) ? next : sent);
     if (changed) {
       log.write(
           "target",
@@ -139,11 +153,15 @@
   /**
    * Records that a target has deregistered, and sends the change at once.
    *
-   * @param id id of the target
+   * @param statement the target as {@link TargetStatement#deregistered}
    */
-  public void onDeregistration(String id) {
+  public void onDeregistration(TargetStatement statement) {
+    // Without a start it applies to the lifetime that this VM knows, and only to that one
+    // elsewhere.
     onHeartbeat(
-        fleet.recordDeregistration(id, System.nanoTime()).orElse(TargetStatement.deregistered(id)));
+        statement.startedAtMillis() == 0
+            ? fleet.recordDeregistration(statement.id(), System.nanoTime()).orElse(statement)
+            : statement);
     sendUpdate();
   }
 
@@ -169,13 +187,8 @@
     if (update.getStatementsCount() > 0) {
       fleet.recordContact(now);
     }
-    update
-        .getStatementsList()
-        .forEach(
-            s ->
-                fleet.recordStatement(
-                    FleetCodec.decode(s), FleetCodec.timeFromAge(s.getAgeMillis(), now)));
-    update.getReportsList().forEach(r -> fleet.recordReport(FleetCodec.decode(r, now), now));
+    updateReader.read(
+        update, now, fleet::recordStatement, report -> fleet.recordReport(report, now));
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -144,7 +144,7 @@
         });
     driver.start();
     publisher.start();
-    TargetPool pool = new TargetPool(loop, dialect);
+    TargetPool pool = new TargetPool(loop, dialect, log);
     new PlacementLoop(loop, publisher, this::isLeader, this::desiredState, engineDialect, pool, log)
         .start();
     ControlApi api = new ControlApi(loop, controlDialect, publisher, driver, this::apiAddress, log);
@@ -153,6 +153,7 @@
         Objects.requireNonNull(
             settings.apiAddress(), "a control VM needs an address for targets and operators"),
         MAX_BODY_BYTES,
+        log,
         api);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("updating the role", this::updateRole),
@@ -218,6 +219,7 @@
           controlDialect.checkDesired(DocumentCompression.decompress(newest));
       if (checked instanceof DesiredState.Valid valid) {
         latestDesiredState = valid.state();
+        publisher.fleet().services(valid.state().serviceNames());
       }
     }
     return Optional.ofNullable(latestDesiredState);
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
@@ -20,6 +21,7 @@
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
 import org.clementinesail.server.fleet.DocumentCompression;
+import org.clementinesail.server.fleet.FleetUpdateReader;
 import org.clementinesail.server.fleet.HttpEndpoint;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.Dialect;
@@ -28,7 +30,6 @@
 import org.clementinesail.server.proxy.ProxyServer;
 import org.clementinesail.server.proxy.RoutingState;
 import org.clementinesail.wire.CrashCodec;
-import org.clementinesail.wire.FleetCodec;
 import org.clementinesail.wire.PeerListener;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.SharedSecret;
@@ -56,6 +57,9 @@
   /** Part of the grace period that is left unused before the process is killed. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Part of that margin in which the last answers are sent. */
+  private static final long LAST_ANSWERS_MS = 300;
+
   private static final long STOP_CHECK_INTERVAL_MS = 50;
 
   /** How long a caller's connection must be idle before a stopping VM closes it. */
@@ -75,6 +79,7 @@
   private final NodeSettings settings;
   private final ControlDialect controlDialect;
   private final DecisionLog log;
+  private final FleetUpdateReader updateReader;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
@@ -105,6 +110,7 @@
     this.settings = settings;
     this.controlDialect = controlDialect;
     this.log = log;
+    this.updateReader = new FleetUpdateReader(log);
     RoutingState.Settings routingSettings =
         new RoutingState.Settings(
             settings.dataCentre(),
@@ -151,7 +157,7 @@
             settings.proxyAddress(), "an entry VM needs an address for callers"));
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
-      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, this::answerStatusRequest);
+      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
     }
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
@@ -189,31 +195,37 @@
     log.write("stopping");
     loop.execute(proxy::drain);
     try {
-      while (!readyToStop(stopStartedAt)) {
-        TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MS);
+      TimeUnit.MILLISECONDS.sleep(READINESS_DETECTION_MS);
+      long graceMillis = settings.graceMillis() - STOP_MARGIN_MS;
+      boolean idle = awaitIdle(stopStartedAt + TimeUnit.MILLISECONDS.toNanos(graceMillis));
+      if (!idle) {
+        loop.execute(
+            () -> log.write("requests ended by the stop", "unfinished", proxy.endRequests()));
+        idle = awaitIdle(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MS));
       }
+      log.write("stopped", "idle", idle);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    log.write("stopped", "unfinished", proxy.requestsInProgress());
-    proxy.close();
+    loop.execute(proxy::close);
     network.close();
   }
 
-  private boolean readyToStop(long stopStartedAt) {
-    long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopStartedAt);
-    if (elapsedMs < READINESS_DETECTION_MS) {
-      return false;
+  /** Waits until no caller is connected or the deadline has passed; returns whether none is. */
+  private boolean awaitIdle(long deadline) throws InterruptedException {
+    while (true) {
+      // If few VMs are ready, the load balancer also sends callers to VMs that are not; with the
+      // port closed they connect to another VM.
+      Future<Boolean> idle =
+          loop.submit(() -> proxy.stopAcceptingAndCheckIdle(STOP_MIN_IDLE_NANOS));
+      idle.await(Math.max(1, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
+      if (idle.isSuccess() && idle.getNow()) {
+        return true;
+      } else if (System.nanoTime() - deadline >= 0) {
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MS);
     }
-    // If few VMs are ready, the load balancer also sends callers to VMs that are not; with the port
-    // closed they connect to another VM.
-    loop.execute(
-        () -> {
-          proxy.stopAccepting();
-          proxy.closeIdleConnections(STOP_MIN_IDLE_NANOS);
-        });
-    boolean idle = proxy.requestsInProgress() == 0 && proxy.connections() == 0;
-    return idle || elapsedMs > settings.graceMillis() - STOP_MARGIN_MS;
   }
 
   /** Handles frames from control VMs. */
@@ -255,39 +267,35 @@
     if (update.getStatementsCount() > 0) {
       routing.fleet().recordContact(now);
     }
-    update
-        .getStatementsList()
-        .forEach(
-            image -> {
-              TargetStatement statement = FleetCodec.decode(image);
-              long receivedAt = FleetCodec.timeFromAge(image.getAgeMillis(), now);
-              if (routing.fleet().recordStatement(statement, receivedAt)) {
-                log.write(
-                    "target",
-                    "target",
-                    statement.id(),
-                    "phase",
-                    statement.phase(),
-                    "layers",
-                    String.valueOf(statement.layers()),
-                    "age_ms",
-                    image.getAgeMillis());
-              }
-            });
     // An engine that a control VM could not reach is avoided for 1.8 s, longer than the time
     // to its next report.
-    update
-        .getReportsList()
-        .forEach(
-            r ->
-                routing.recordReport(
-                    FleetCodec.decode(r, now), now + TimeUnit.MILLISECONDS.toNanos(1_800)));
+    long suspectUntil = now + TimeUnit.MILLISECONDS.toNanos(1_800);
+    updateReader.read(
+        update,
+        now,
+        (statement, receivedAt) -> applyStatement(statement, receivedAt, now),
+        report -> routing.recordReport(report, suspectUntil));
     if (update.getTrafficVms() > 0) {
       routing.trafficVms(update.getTrafficVms());
     }
     subscriptions.updateControlVms(update.getControlVmsList());
   }
 
+  private void applyStatement(TargetStatement statement, long receivedAt, long now) {
+    if (routing.fleet().recordStatement(statement, receivedAt)) {
+      log.write(
+          "target",
+          "target",
+          statement.id(),
+          "phase",
+          statement.phase(),
+          "layers",
+          String.valueOf(statement.layers()),
+          "age_ms",
+          TimeUnit.NANOSECONDS.toMillis(now - receivedAt));
+    }
+  }
+
   private void applyDesired(String vm, DesiredDocument document) {
     long currentVersion = routing.desiredState().map(DesiredState::version).orElse(0L);
     if (document.version() <= currentVersion) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -4,8 +4,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +14,8 @@
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.LocalLoad;
+import org.clementinesail.core.responses.ResponseHead;
+import org.clementinesail.core.responses.ResponseProgress;
 import org.jspecify.annotations.Nullable;
 
 /** One attempt of a request: sends it to a target and processes the response. */
@@ -30,14 +32,15 @@
   /** Longest time for the body of a refusal; the status alone says that nothing has run. */
   private static final long MAX_REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  /** Unrepeatable requests reuse no connection that is idle for longer: it may be stale. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   /** Initial value of the usual pause, which applies while the target reads the prompt. */
   private static final long INITIAL_USUAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   /** Divisor of the moving average: the newest pause has a weight of 1 in this many. */
   private static final int PAUSE_AVERAGE_DIVISOR = 4;
 
-  private static final String EVENT_STREAM = "text/event-stream";
-
   private enum Mode {
     AWAITING_HEAD,
     REFUSED,
@@ -54,6 +57,8 @@
   private final @Nullable Route route;
   private final @Nullable EngineModel model;
   private final EventSplitter splitter = new EventSplitter(this::onEvent);
+  private final @Nullable String runStart;
+  private final boolean continued;
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf buffer;
   private @Nullable TargetCall call;
@@ -69,16 +74,17 @@
   Attempt(
       Exchange exchange,
       ProxyContext context,
-      TargetStatement target,
-      List<Hop> path,
+      RoutingState.Destination destination,
       @Nullable Route route,
       @Nullable EngineModel model) {
     this.exchange = exchange;
     this.context = context;
-    this.target = target;
-    this.path = path;
+    this.target = destination.firstTarget().statement();
+    this.path = destination.path();
     this.route = route;
     this.model = model;
+    this.runStart = exchange.sender().progress().lastEventId();
+    this.continued = exchange.sender().progress().started();
   }
 
   TargetStatement target() {
@@ -89,32 +95,35 @@
     return path;
   }
 
+  @Nullable Route route() {
+    return route;
+  }
+
   /** Returns the {@link System#nanoTime} at which the request was sent. */
   long sentAt() {
     return sentAt;
   }
 
-  /** Returns the {@link System#nanoTime} of the last data from the target, or of the creation. */
-  long lastProgressAt() {
-    return lastProgressAt;
-  }
-
-  /** Returns the moving average of the pauses between parts of the response, in nanoseconds. */
-  long usualPauseNanos() {
-    return usualPauseNanos;
+  /**
+   * Returns whether the response has stalled at a suspect engine and may be continued by another
+   * attempt; a response other than a stream may not once a part of it has been passed on.
+   */
+  boolean hasStalled(long now) {
+    return !path.isEmpty()
+        && mode != Mode.PASSED_ON
+        && context.faults().shouldSwitchPath(path, now - lastProgressAt, usualPauseNanos);
   }
 
-  void start(
-      FullHttpRequest request,
-      String requestId,
-      long maxIdleNanos,
-      RoutingState.TokenEstimate estimate) {
+  void start(FullHttpRequest request, RequestMetadata metadata, boolean newConnection) {
+    boolean repeatable = route != null && route.repeatable();
+    long maxIdleNanos = newConnection ? 0 : repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS;
+    var estimate = RoutingState.TokenEstimate.of(metadata, model);
     assignments =
         model == null || path.isEmpty()
             ? List.of(context.routing().ownLoad().assign(target.id(), 0, System.nanoTime()))
             : context.routing().recordAssignment(path, model, estimate);
     TargetCall started =
-        context.targetPool().send(target.address(), requestId, request, maxIdleNanos, this);
+        context.targetPool().send(target.address(), metadata.id(), request, maxIdleNanos, this);
     call = started;
     if (finished) {
       started.cancel();
@@ -147,36 +156,51 @@
 
   @Override
   public void onHead(HttpResponse response) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptHead(response));
     }
+  }
+
+  private void acceptHead(HttpResponse response) {
     head = response;
     lastProgressAt = System.nanoTime();
-    boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (context.dialect().isRefusal(response)) {
-      mode = Mode.REFUSED;
-      refusedAt = lastProgressAt;
-    } else if (success && !context.dialect().hasTargetProof(response)) {
-      reportLostResponse(false, "success response without the proof header of a target");
-    } else if (success && isEventStream(response)) {
-      mode = Mode.EVENTS;
-    } else {
-      mode = Mode.BUFFERED;
-      buffer = Unpooled.buffer();
+    NoticeReader.read(context, target, response);
+    boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
+    switch (readHead(response).use(streamRoute, exchange.sender().progress())) {
+      case REFUSAL -> {
+        mode = Mode.REFUSED;
+        refusedAt = lastProgressAt;
+      }
+      case UNPROVEN ->
+          reportLostResponse(false, "success response without the proof header of a target");
+      case NO_CONTINUATION ->
+          reportNoContinuation("status " + response.status().code() + ", no rest of the stream");
+      case EVENTS -> mode = Mode.EVENTS;
+      case WHOLE -> {
+        mode = Mode.BUFFERED;
+        buffer = Unpooled.buffer();
+      }
     }
   }
 
-  private boolean isEventStream(HttpResponse response) {
-    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE);
-    boolean stream = route != null && route.kind() == Route.Kind.STREAM;
-    return stream && (type == null || type.startsWith(EVENT_STREAM));
+  private ResponseHead readHead(HttpResponse response) {
+    HttpHeaders headers = response.headers();
+    return new ResponseHead(
+        response.status().code(),
+        context.dialect().isRefusal(response),
+        context.dialect().hasTargetProof(response),
+        headers.get(HttpHeaderNames.CONTENT_TYPE),
+        headers.contains(HttpHeaderNames.CONTENT_ENCODING));
   }
 
   @Override
   public void onContent(ByteBuf content) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptContent(content));
     }
+  }
+
+  private void acceptContent(ByteBuf content) {
     HttpResponse response = head;
     ByteBuf buffered = buffer;
     if (mode == Mode.EVENTS) {
@@ -193,14 +217,15 @@
       buffered.writeBytes(content);
       if (buffered.readableBytes() > MAX_BUFFERED_BYTES && response != null) {
         mode = Mode.PASSED_ON;
-        exchange.sendPart(response, buffered, null);
+        exchange.onProgress(this);
+        exchange.sender().sendBytes(this, response, buffered);
         buffered.release();
         buffer = null;
-        exchange.flushParts();
+        exchange.sender().flush(this);
       }
     } else if (mode == Mode.PASSED_ON && response != null) {
-      exchange.sendPart(response, content, null);
-      exchange.flushParts();
+      exchange.sender().sendBytes(this, response, content);
+      exchange.sender().flush(this);
     }
   }
 
@@ -209,8 +234,11 @@
     if (splitter.feed(content) > 0) {
       recordProgress();
     }
-    exchange.flushParts();
-    if (!finished && splitter.incompleteEvent().readableBytes() > MAX_EVENT_BYTES) {
+    if (finished) {
+      return;
+    }
+    exchange.sender().flush(this);
+    if (splitter.rest().readableBytes() > MAX_EVENT_BYTES) {
       reportLostResponse(false, "event without end");
     }
   }
@@ -231,44 +259,48 @@
   private void endRefusal() {
     HttpResponse response = Objects.requireNonNull(head);
     cancel();
-    exchange.onRefused(this, response);
+    exchange.failures().onRefused(this, response);
   }
 
-  private void onEvent(ByteBuf event, @Nullable String id) {
+  private void onEvent(EventSplitter.Event event) {
     HttpResponse response = head;
-    if (response != null && !finished && isNewEvent(id)) {
-      exchange.sendPart(response, event, id);
+    if (response == null || finished) {
+      return;
     }
-  }
-
-  /** Returns whether an event has no id, a higher numeric id than the last, or another text id. */
-  private boolean isNewEvent(@Nullable String id) {
-    String last = exchange.lastEventId();
-    if (id == null || last == null) {
-      return true;
+    if (event.comment()) {
+      exchange.onProgress(this);
+      exchange.sender().sendComment(this, response, event.bytes());
+      return;
     }
-    try {
-      return Long.parseLong(id) > Long.parseLong(last);
-    } catch (NumberFormatException e) {
-      return !id.equals(last);
+    switch (ResponseProgress.use(event.id(), runStart, continued)) {
+      case SEND -> {
+        exchange.onProgress(this);
+        exchange.sender().sendEvent(this, response, event.bytes(), event.id());
+      }
+      case SKIP -> {}
+      case UNKNOWN_PLACE -> reportNoContinuation("an event without a number as its id");
     }
   }
 
   @Override
   public void onComplete() {
     HttpResponse response = head;
-    if (finished || response == null) {
-      return;
+    if (!finished && response != null) {
+      exchange.guard(() -> complete(response));
     }
+  }
+
+  private void complete(HttpResponse response) {
     switch (mode) {
       case REFUSED -> {
         finish();
-        exchange.onRefused(this, response);
+        exchange.failures().onRefused(this, response);
       }
       case BUFFERED -> completeBuffered(response);
       case EVENTS -> completeEvents(response);
       case PASSED_ON, AWAITING_HEAD -> {
         finish();
+        exchange.onProgress(this);
         exchange.completeResponse(response);
       }
     }
@@ -279,49 +311,59 @@
     buffer = null;
     finish();
     if (buffered == null) {
+      exchange.onProgress(this);
       exchange.completeResponse(response);
-    } else if (exchange.retryAfterServerError(this, response)) {
+    } else if (exchange.failures().retryAfterServerError(this, response)) {
       buffered.release();
     } else {
+      exchange.onProgress(this);
       exchange.sendWholeResponse(response, buffered);
     }
   }
 
   private void completeEvents(HttpResponse response) {
-    if (splitter.incompleteEvent().isReadable()) {
+    if (splitter.withinEvent()) {
       reportLostResponse(false, "stream ended within an event");
       return;
     }
+    exchange.onProgress(this);
+    if (splitter.rest().isReadable()) {
+      exchange.sender().sendComment(this, response, splitter.rest());
+    }
     finish();
     exchange.completeResponse(response);
   }
 
   @Override
   public void onFailure(FailureKind kind, String reason) {
-    if (finished) {
-      return;
+    if (!finished) {
+      exchange.guard(() -> acceptFailure(kind, reason));
     }
+  }
+
+  private void acceptFailure(FailureKind kind, String reason) {
     if (mode == Mode.REFUSED && head != null) {
       // The status alone guarantees that the request has not run.
       finish();
-      exchange.onRefused(this, head);
+      exchange.failures().onRefused(this, head);
     } else if (mode == Mode.PASSED_ON) {
       finish();
-      exchange.onPartialResponseLost(reason);
+      exchange.failures().onPartialResponseLost(this, reason);
     } else if (kind == FailureKind.NOT_SENT) {
       finish();
-      exchange.onNotSent(this, reason);
+      exchange.failures().onNotSent(this, reason);
     } else {
       reportLostResponse(kind == FailureKind.STALE_CONNECTION, reason);
     }
   }
 
+  private void reportNoContinuation(String reason) {
+    cancel();
+    exchange.failures().onNoContinuation(this, reason);
+  }
+
   private void reportLostResponse(boolean staleConnection, String reason) {
-    TargetCall open = call;
-    finish();
-    if (open != null) {
-      open.cancel();
-    }
-    exchange.onResponseLost(this, staleConnection, reason);
+    cancel();
+    exchange.failures().onResponseLost(this, staleConnection, reason);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,9 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +40,9 @@
   /** Maximum number of requests that wait for the current one; another closes the connection. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Time in which the event loop reads what has already arrived on a connection. */
+  private static final long READ_BEFORE_CLOSE_MS = 5;
+
   private final ProxyContext context;
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
@@ -45,14 +52,23 @@
   private boolean bodyRefused;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
+  private boolean responseBegun;
+  private boolean responseBroken;
+  private boolean lastResponseSent;
+  private @Nullable Refusal refusal;
   private long idleSince = System.nanoTime();
+  private long idleUntil;
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
   private record ReceivedRequest(HttpRequest head, ByteBuf body, long receivedAt) {}
 
+  /** Status for bytes that are no request that can be processed; ends the connection. */
+  private record Refusal(HttpResponseStatus status, String reason) {}
+
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
+    this.idleUntil = idleSince + idleLimitNanos();
   }
 
   @Override
@@ -64,6 +80,9 @@
   @Override
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
     try {
+      if (lastResponseSent || refusal != null) {
+        return;
+      }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
         refuseUnreadable(part.decoderResult().cause());
         return;
@@ -113,16 +132,35 @@
   }
 
   private void startNextRequest() {
-    if (exchange != null || waiting.isEmpty()) {
+    if (exchange != null || lastResponseSent) {
+      return;
+    }
+    if (waiting.isEmpty()) {
+      sendRefusal();
       return;
     }
     ReceivedRequest received = waiting.removeFirst();
     closeAfterResponse = !HttpUtil.isKeepAlive(received.head());
-    Exchange started =
-        new Exchange(context, this, received.head(), received.body(), received.receivedAt());
+    Exchange started;
+    try {
+      started =
+          new Exchange(context, this, received.head(), received.body(), received.receivedAt());
+    } catch (RuntimeException e) {
+      refuseAfterError(received, e);
+      return;
+    }
     exchange = started;
     server.exchangeStarted(started);
-    started.start();
+    started.guard(() -> started.start(System.nanoTime()));
+  }
+
+  /** Answers a request that an error in this VM keeps from being processed. */
+  private void refuseAfterError(ReceivedRequest received, RuntimeException error) {
+    context.log().write("internal error", "error", error);
+    received.body().release();
+    closeAfterResponse = true;
+    HttpHeaders headers = RetryAfter.headers(context, RetryAfter.SECONDS);
+    sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
   }
 
   private void refuseUnreadable(Throwable cause) {
@@ -135,17 +173,20 @@
         String.valueOf(cause.getMessage()));
   }
 
+  /** Refuses further requests, after the responses to those that have been read. */
   private void refuseAndClose(HttpResponseStatus status, String reason) {
-    context.log().write("unreadable", "status", status.code(), "reason", reason);
-    Channel open = channel;
-    if (open == null || exchange != null) {
-      close();
+    refusal = new Refusal(status, reason);
+    startNextRequest();
+  }
+
+  private void sendRefusal() {
+    Refusal due = refusal;
+    if (due == null) {
       return;
     }
-    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-    HttpUtil.setContentLength(response, 0);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    open.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.log().write("unreadable", "status", due.status().code(), "reason", due.reason());
+    closeAfterResponse = true;
+    sendResponse(due.status(), HeaderCopies.empty(), Unpooled.EMPTY_BUFFER);
   }
 
   private RequestLimits limits() {
@@ -160,12 +201,18 @@
       exchangeFinished();
       return;
     }
+    if (responseBegun) {
+      content.release();
+      breakOff("a second head in a response");
+      exchangeFinished();
+      return;
+    }
     FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
     HttpUtil.setContentLength(response, content.readableBytes());
     boolean close = setConnectionClose(response);
-    var written = open.writeAndFlush(response);
+    ChannelFuture written = open.writeAndFlush(response).addListener(this::onWritten);
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
@@ -178,18 +225,25 @@
     if (open == null) {
       return;
     }
+    if (responseBegun) {
+      breakOff("a second head in a response");
+      return;
+    }
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     response.headers().set(headers);
     response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
     HttpUtil.setTransferEncodingChunked(response, true);
     setConnectionClose(response);
-    open.write(response);
+    responseBegun = true;
+    open.write(response).addListener(this::onWritten);
   }
 
   /** Writes a copy of a part of a chunked response, without a flush. */
   void writePart(ByteBuf content) {
     if (channel != null) {
-      channel.write(new DefaultHttpContent(Unpooled.copiedBuffer(content)));
+      channel
+          .write(new DefaultHttpContent(Unpooled.copiedBuffer(content)))
+          .addListener(this::onWritten);
     }
   }
 
@@ -203,8 +257,10 @@
   /** Completes a chunked response and ends the exchange. */
   void endResponse() {
     if (channel != null) {
-      var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-      if (closeAfterResponse || server.draining()) {
+      ChannelFuture written =
+          channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::onWritten);
+      if (closeAfterResponse || (server.draining() && waiting.isEmpty() && refusal == null)) {
+        lastResponseSent = true;
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
@@ -217,6 +273,29 @@
     exchangeFinished();
   }
 
+  /** Aborts an exchange whose response was not handed over. */
+  void abortIfCurrent(Exchange ended) {
+    if (exchange == ended) {
+      abort();
+    }
+  }
+
+  /** A response that cannot be written has no other end than that of the connection. */
+  private void onWritten(Future<? super Void> written) {
+    if (!written.isSuccess() && !(written.cause() instanceof ClosedChannelException)) {
+      breakOff("write failed: " + written.cause());
+    }
+  }
+
+  private void breakOff(String reason) {
+    if (!responseBroken) {
+      responseBroken = true;
+      String id = exchange == null ? "" : exchange.requestId();
+      context.log().write("response broken off", "request", id, "reason", reason);
+      close();
+    }
+  }
+
   boolean isWritable() {
     return channel != null && channel.isWritable();
   }
@@ -225,6 +304,7 @@
     boolean close = closeAfterResponse || server.draining();
     if (close) {
       closeAfterResponse = true;
+      lastResponseSent = true;
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     return close;
@@ -233,26 +313,51 @@
   private void exchangeFinished() {
     Exchange ended = exchange;
     exchange = null;
+    responseBegun = false;
     idleSince = System.nanoTime();
+    idleUntil = idleSince + idleLimitNanos();
     if (ended != null) {
       server.exchangeEnded(ended);
     }
-    if (!waiting.isEmpty()) {
+    if (!waiting.isEmpty() || refusal != null) {
       context.loop().execute(this::startNextRequest);
     }
   }
 
-  /** Closes the connection if it has had no request for at least the given time. */
+  /**
+   * Closes the connection if it has had no request for at least the given time and none has
+   * arrived; what has arrived while the event loop was busy is read first.
+   */
   void closeIfIdle(long now, long maxIdleNanos) {
-    boolean idle = exchange == null && head == null && waiting.isEmpty();
-    if (idle && now - idleSince >= maxIdleNanos) {
+    long since = idleSince;
+    if (isIdle() && now - since >= maxIdleNanos) {
+      Runnable check = () -> closeIfIdleSince(since);
+      context.loop().schedule(check, READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void closeIfIdleSince(long since) {
+    if (isIdle() && idleSince == since) {
       close();
     }
   }
 
-  /** Closes the connection if it has been idle for the idle timeout of callers. */
+  private boolean isIdle() {
+    return exchange == null && head == null && waiting.isEmpty();
+  }
+
+  /**
+   * Closes the connection if it has been idle for the idle timeout of callers. A version with a
+   * shorter one holds from the next idle time on, as callers may not know it yet.
+   */
   void closeIfExpired(long now) {
-    closeIfIdle(now, TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis()));
+    if (now - idleUntil >= 0) {
+      closeIfIdle(now, idleLimitNanos());
+    }
+  }
+
+  private long idleLimitNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis());
   }
 
   void close() {
@@ -283,6 +388,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
-    handlerContext.close();
+    if (cause instanceof IOException) {
+      handlerContext.close();
+    } else {
+      breakOff("internal error: " + cause);
+    }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
 
 /** Reads and writes the header names and formats of callers and targets. */
 public interface Dialect {
@@ -45,6 +47,12 @@
    */
   Optional<String> requestId(HttpResponse response);
 
+  /**
+   * Returns the names in lower case of the headers of this dialect that a response has at most
+   * once. A response that repeats one is malformed.
+   */
+  Set<String> singularResponseHeaders();
+
   /**
    * Returns the IP address and port of the target that caused a refusal, or empty if the response
    * names none.
@@ -53,6 +61,21 @@
    */
   Optional<String> faultyAddress(HttpResponse response);
 
+  /**
+   * Returns whether a response states that its target is leaving and wants no new requests.
+   *
+   * @param response head of the response, of any status
+   */
+  boolean isLeaving(HttpResponse response);
+
+  /**
+   * Returns for how many seconds the target of a refusal wants no requests; empty if the response
+   * is no refusal of that kind, or if its time is not a number of 0 or more.
+   *
+   * @param response head of the response, of any status
+   */
+  OptionalDouble deferralSeconds(HttpResponse response);
+
   /**
    * Sets the time after which the caller may retry.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
@@ -17,7 +16,7 @@
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
-import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.responses.ResponseProgress;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,17 +24,6 @@
  * the response or an error status that tells whether the request may have run.
  */
 final class Exchange {
-  /** How long a request may wait for a target before it is refused with Retry-After. */
-  private static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
-  /** Unrepeatable requests reuse no connection that is idle for longer: it may be stale. */
-  private static final long MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-  /** Retry-After is 1 to 2 times this: about the time for streams to end and engines to return. */
-  private static final double RETRY_AFTER_SECONDS = 1.5;
-
-  /** The same while a VM knows no desired state yet, because it has just started. */
-  private static final double STARTUP_RETRY_AFTER_SECONDS = 2.5;
 
   private final ProxyContext context;
   private final CallerConnection caller;
@@ -45,8 +33,10 @@
   private final RequestMetadata metadata;
   private final ExchangeLog log;
   private final PartGuard partGuard;
-  private final PauseLogger pauseLogger;
+  private final ResponseSender sender;
+  private final AttemptFailures failures;
   private final AttemptCounts counts = new AttemptCounts();
+  private final StalledAttempt stalled = new StalledAttempt(counts);
   private final Set<String> excludedTargets = new HashSet<>();
   private @Nullable Route route;
   private @Nullable Service service;
@@ -57,9 +47,8 @@
   private boolean awaitingTarget;
   private boolean awaitingState;
   private long resolvedAt;
-  private boolean responseStarted;
+  private boolean checkFailed;
   private boolean finished;
-  private @Nullable String lastEventId;
 
   Exchange(
       ProxyContext context,
@@ -75,15 +64,12 @@
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
     this.partGuard = new PartGuard(context.crashes(), head, body, metadata);
-    this.pauseLogger = new PauseLogger(context, metadata.id());
-    this.lastEventId = metadata.lastEventId();
-  }
-
-  void start() {
-    resolve(System.nanoTime());
+    this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
+    this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
   }
 
-  private void resolve(long now) {
+  /** Starts the request, or tries again to start it while no desired state is known. */
+  void start(long now) {
     var resolution = RequestResolver.resolve(context.routing(), metadata, head.uri());
     if (resolution instanceof RequestResolver.Resolved resolved) {
       start(resolved);
@@ -92,7 +78,7 @@
     } else {
       awaitingState = context.startupWait().mayWait(now, receivedAt, metadata.timeoutMillis());
       if (!awaitingState) {
-        refuse("no desired state is known yet", STARTUP_RETRY_AFTER_SECONDS);
+        refuse("no desired state is known yet", RetryAfter.STARTUP_SECONDS);
       }
     }
   }
@@ -104,17 +90,17 @@
     service = resolved.service();
     workspace = resolved.workspace();
     partGuard.resolved(resolved.service(), resolved.workspace());
-    context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
+    context.routing().retryBudget(resolved.service()).recordFirstAttempt();
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
-    timer =
-        context.loop().schedule(this::expire, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+    Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
+    timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
   }
 
   /** Sends the request to a target, waits until one is available, or ends the request. */
-  private void tryNextTarget() {
+  void tryNextTarget() {
     Service chosen = service;
     if (finished || chosen == null) {
       return;
@@ -128,196 +114,160 @@
     var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
     if (choice.isPresent()) {
       awaitingTarget = false;
-      send(choice.get(), chosen.engine());
-    } else if (responseStarted || now - resolvedAt < MAX_TARGET_WAIT_NANOS) {
+      sendWithinBudget(choice.get(), chosen, false);
+      return;
+    }
+    var deferral = context.routing().deferralSeconds(chosen, metadata, now);
+    boolean mayWait = deferral.isEmpty() && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
+    if (progress().started() || mayWait) {
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
-      giveUp("no target is available", RETRY_AFTER_SECONDS);
+      giveUp("no target is available", deferral.orElse(RetryAfter.SECONDS));
     }
   }
 
-  private void send(RoutingState.Destination choice, @Nullable EngineModel model) {
-    Fleet.Member first = choice.firstTarget();
-    String name = first.statement().service();
-    if (counts.sentCount() > 0 && !context.routing().retryBudget(name).tryAcquireRetry()) {
-      giveUp("the retry budget is used up", RETRY_AFTER_SECONDS);
-      return;
+  private void sendWithinBudget(
+      RoutingState.Destination choice, Service chosen, boolean newConnection) {
+    if (counts.sentCount() == 0 || context.routing().retryBudget(chosen).tryAcquireRetry()) {
+      send(choice, chosen.engine(), newConnection);
+    } else {
+      giveUp("the retry budget is used up");
     }
+  }
+
+  private void send(
+      RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
     counts.recordSent();
     partGuard.onSent();
-    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
-    var forwardingInfo =
-        new ForwardingInfo(workspace, millis, first.statement().id(), choice.path(), lastEventId);
-    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, forwardingInfo);
-    boolean repeatable = route != null && route.repeatable();
-    var estimate = RoutingState.TokenEstimate.of(metadata, model);
-    Attempt next = new Attempt(this, context, first.statement(), choice.path(), route, model);
+    ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
+    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, info);
+    Attempt next = new Attempt(this, context, choice, route, model);
     attempt = next;
-    next.start(request, metadata.id(), repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS, estimate);
+    next.start(request, metadata, newConnection);
   }
 
-  /** Tries again to start a waiting request; switches a stalled response to another path. */
+  /** Tries again to start a waiting request; tries another path beside a stalled response. */
   void checkProgress(long now) {
     Attempt current = attempt;
     if (finished) {
       return;
     } else if (awaitingState) {
-      resolve(now);
-      return;
+      start(now);
     } else if (awaitingTarget) {
       tryNextTarget();
-      return;
     } else if (current != null) {
       current.endOverdueRefusal(now);
-    }
-    if (current == null || current != attempt || current.path().isEmpty()) {
-      return;
-    }
-    long pause = now - current.lastProgressAt();
-    if (context.faults().shouldSwitchPath(current.path(), pause, current.usualPauseNanos())) {
-      switchPath(current, "an engine on the path is at fault");
+      if (current == attempt && current.hasStalled(now)) {
+        tryOtherPath(current, now);
+      }
     }
   }
 
-  /** Continues the response on another path if the route allows a retry. */
-  private void switchPath(Attempt from, String reason) {
-    if (!counts.mayRetry(route)) {
+  /** Sends the request on another path too, if there is one and the route and budget allow it. */
+  private void tryOtherPath(Attempt from, long now) {
+    Service chosen = service;
+    if (chosen == null || counts.refusalLimitReached() || !mayRetry(from)) {
       return;
     }
-    if (context.faults().isSuspect(from.target().id())) {
-      counts.recordDeadTarget();
+    Set<String> suspects = context.faults().suspects(from.path());
+    excludedTargets.addAll(suspects);
+    var choice = context.routing().acquireRetry(chosen, metadata, excludedTargets, now);
+    if (choice.isEmpty()) {
+      return;
     }
-    log.pathSwitched(reason, lastEventId);
-    from.cancel();
-    from.path().stream()
-        .filter(hop -> context.faults().isSuspect(hop.id()))
-        .forEach(hop -> excludedTargets.add(hop.id()));
-    counts.recordPossibleRun();
-    attempt = null;
-    tryNextTarget();
-  }
-
-  /** Handles a refusal: the target has not run the request and never will. */
-  void onRefused(Attempt from, HttpResponse response) {
-    attempt = null;
-    Optional<String> faulty = context.dialect().faultyAddress(response);
-    faulty.ifPresent(
-        address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
-    if (faulty.isEmpty() || from.path().isEmpty()) {
-      excludedTargets.add(from.target().id());
+    if (suspects.contains(from.target().id())) {
+      counts.recordDeadTarget(from.target().id());
     }
-    log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal("targets refused the request");
+    log.pathSwitched("an engine on the path is at fault", progress().lastEventId());
+    stalled.keep(from);
+    send(choice.get(), chosen.engine(), false);
   }
 
-  /** Handles a failed connection: nothing of the request reached the target. */
-  void onNotSent(Attempt from, String reason) {
-    attempt = null;
-    context.faults().markSuspect(from.target().address(), reason);
-    excludedTargets.add(from.target().id());
-    retryAfterRefusal("no target could be reached");
+  /** Called when the response of an attempt goes on. */
+  void onProgress(Attempt from) {
+    stalled.settle(from, attempt);
+    attempt = from;
   }
 
-  private void retryAfterRefusal(String reason) {
-    counts.recordRefusal();
-    if (counts.refusalLimitReached()) {
-      giveUp(reason, RETRY_AFTER_SECONDS);
-    } else {
-      tryNextTarget();
-    }
+  /** Returns whether another attempt of the request goes on after one has failed. */
+  boolean otherGoesOn(Attempt failed, boolean possibleRun) {
+    attempt = stalled.afterFailure(failed, attempt, possibleRun);
+    return attempt != null;
   }
 
-  /** Handles an incomplete or unauthenticated response: the request may have run. */
-  void onResponseLost(Attempt from, boolean staleConnection, String reason) {
+  /** Forgets the current attempt, which has ended. */
+  void endAttempt() {
     attempt = null;
-    log.responseLost(from.target().id(), reason);
-    if (staleConnection) {
-      counts.recordDeadTarget();
-    } else {
-      excludedTargets.add(from.target().id());
-      context.faults().recordLostResponse(from.target());
-    }
-    boolean retry = counts.mayRetry(route);
-    counts.recordPossibleRun();
-    partGuard.afterLoss(
-        from, retry ? this::tryNextTarget : () -> fail(HttpResponseStatus.BAD_GATEWAY, reason));
   }
 
-  /** Fails a response that was partly sent to the caller and cannot be continued. */
-  void onPartialResponseLost(String reason) {
-    attempt = null;
-    counts.recordPossibleRun();
-    fail(HttpResponseStatus.BAD_GATEWAY, reason);
+  /** Returns whether another target may get the request if an attempt is given up. */
+  boolean mayRetry(Attempt from) {
+    return progress().mayContinue() && counts.mayRetry(route, from.target().id());
   }
 
-  /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
-  boolean retryAfterServerError(Attempt from, HttpResponse response) {
-    boolean failure = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-    if (responseStarted || !failure || !counts.mayRetry(route)) {
-      return false;
-    }
-    counts.recordPossibleRun();
-    excludedTargets.add(from.target().id());
-    attempt = null;
-    log.retriedAfterServerError(from.target().id(), response.status().code());
-    tryNextTarget();
-    return true;
+  /** Returns whether another target may get the request after all attempts that have failed. */
+  boolean mayTryAnother() {
+    return progress().mayContinue() && counts.mayTryAnother(route);
   }
 
-  void sendWholeResponse(HttpResponse response, ByteBuf content) {
-    if (!finished) {
-      partGuard.onAnswered();
-    }
-    if (finish("answered")) {
-      caller.sendResponse(response.status(), HeaderCopies.ofResponse(response.headers()), content);
-    } else {
-      content.release();
-    }
+  /** Returns whether the target of a failed attempt may get the request again. */
+  boolean mayResend(Attempt from) {
+    return progress().mayContinue() && counts.mayResend(route, from.target().id());
   }
 
-  /** Sends a part of the response; the first part is preceded by the head. */
-  void sendPart(HttpResponse response, ByteBuf content, @Nullable String eventId) {
-    if (finished) {
-      return;
-    }
-    if (!responseStarted) {
-      responseStarted = true;
-      partGuard.onAnswered();
-      context.metrics().recordFirstEvent(routeName(), System.nanoTime() - receivedAt);
-      caller.begin(response.status(), HeaderCopies.ofResponse(response.headers()));
-    }
-    if (route != null && attempt != null) {
-      pauseLogger.recordPart(eventId, route.maxPauseMillis(), counts.sentCount(), attempt.path());
+  /**
+   * Sends the request again to the target of a failed attempt, on a new connection; returns false
+   * if the target accepts no requests now.
+   */
+  boolean resend(Attempt from) {
+    Service chosen = service;
+    if (finished || chosen == null) {
+      return true;
     }
-    if (eventId != null) {
-      lastEventId = eventId;
+    long now = System.nanoTime();
+    String id = from.target().id();
+    Optional<RoutingState.Destination> again =
+        context.routing().sameDestination(chosen.name(), id, from.path(), now);
+    if (again.isEmpty() || partGuard.refusedSeconds(now).isPresent()) {
+      return false;
     }
-    caller.writePart(content);
+    counts.recordResend(id);
+    sendWithinBudget(again.get(), chosen, true);
+    return true;
   }
 
-  /** Flushes the parts; stops reading from the target while the caller does not read. */
-  void flushParts() {
+  /** Sends a response whose body is known completely; releases the body. */
+  void sendWholeResponse(HttpResponse response, ByteBuf content) {
     if (finished) {
+      content.release();
       return;
     }
-    caller.flush();
-    if (!caller.isWritable() && attempt != null) {
-      attempt.setReading(false);
-    }
+    partGuard.onAnswered(response.status());
+    sender.sendWhole(response, content);
+    finish("answered");
   }
 
   /** Completes the response, or sends an empty one if no part was sent. */
   void completeResponse(HttpResponse response) {
-    if (!responseStarted) {
+    if (!progress().started()) {
       sendWholeResponse(response, Unpooled.EMPTY_BUFFER);
-    } else if (finish("answered")) {
-      caller.endResponse();
+    } else if (!finished) {
+      sender.end();
+      finish("answered");
     }
   }
 
-  @Nullable String lastEventId() {
-    return lastEventId;
+  AttemptFailures failures() {
+    return failures;
+  }
+
+  ResponseSender sender() {
+    return sender;
+  }
+
+  private ResponseProgress progress() {
+    return sender.progress();
   }
 
   void onCallerWritabilityChanged(boolean writable) {
@@ -332,17 +282,20 @@
     }
   }
 
-  private void expire() {
-    if (finished) {
-      return;
-    }
+  /** Ends the request without a target's response: 503 if it has certainly not run, else 504. */
+  void end(String reason) {
     if (counts.certainlyNotRun() && attempt == null) {
-      refuse("no target accepted the request before its deadline", RETRY_AFTER_SECONDS);
+      refuse(reason, RetryAfter.SECONDS);
     } else {
-      fail(HttpResponseStatus.GATEWAY_TIMEOUT, "the deadline of the request has passed");
+      fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason);
     }
   }
 
+  /** Ends the request after its attempts have failed. */
+  void giveUp(String reason) {
+    giveUp(reason, RetryAfter.SECONDS);
+  }
+
   /** Ends the request: 503 with Retry-After if it has certainly not run, else 502. */
   private void giveUp(String reason, double retryAfterSeconds) {
     if (counts.certainlyNotRun()) {
@@ -353,28 +306,69 @@
   }
 
   private void refuse(String reason, double retryAfterSeconds) {
-    HttpHeaders headers = HeaderCopies.empty();
-    double seconds = retryAfterSeconds * (1 + context.routing().random().nextDouble());
-    context.dialect().setRetryAfter(headers, seconds);
+    HttpHeaders headers = RetryAfter.headers(context, retryAfterSeconds);
     endWithStatus("refused", HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
   }
 
-  private void fail(HttpResponseStatus status, String reason) {
+  void fail(HttpResponseStatus status, String reason) {
     endWithStatus("failed", status, HeaderCopies.empty(), reason);
   }
 
   private void endWithStatus(
       String outcome, HttpResponseStatus status, HttpHeaders headers, String reason) {
-    boolean partlySent = responseStarted;
-    if (!finish(outcome)) {
+    if (finished) {
       return;
     }
     log.endedByProxy(outcome, routeName(), status, reason, counts);
-    if (partlySent) {
+    if (progress().started()) {
       caller.abort();
     } else {
       caller.sendResponse(status, headers, Unpooled.EMPTY_BUFFER);
     }
+    finish(outcome);
+  }
+
+  /** Runs a step of the request; an exception ends the request instead of leaving it open. */
+  void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      log.stepFailed(e);
+      endAfterError();
+    }
+  }
+
+  /** Runs a periodic check; an exception ends the request unless a target is at work on it. */
+  void guardCheck(Runnable check) {
+    try {
+      check.run();
+    } catch (RuntimeException e) {
+      if (attempt == null) {
+        log.stepFailed(e);
+        endAfterError();
+      } else if (!checkFailed) {
+        checkFailed = true;
+        log.stepFailed(e);
+      }
+    }
+  }
+
+  private void endAfterError() {
+    try {
+      if (attempt == null) {
+        giveUp("internal error");
+      }
+    } catch (RuntimeException e) {
+      log.stepFailed(e);
+    }
+    try {
+      fail(HttpResponseStatus.BAD_GATEWAY, "internal error");
+    } catch (RuntimeException e) {
+      log.stepFailed(e);
+    } finally {
+      caller.abortIfCurrent(this);
+      finish("failed");
+    }
   }
 
   private boolean finish(String outcome) {
@@ -389,11 +383,16 @@
       attempt.cancel();
       attempt = null;
     }
+    stalled.cancel();
     body.release();
     context.metrics().recordEnd(routeName(), outcome, System.nanoTime() - receivedAt);
     return true;
   }
 
+  String requestId() {
+    return metadata.id();
+  }
+
   private String routeName() {
     return route == null ? "" : route.name();
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -38,10 +38,38 @@
     log.write("answer lost", "request", requestId, "target", target, "why", reason);
   }
 
+  void notContinued(String target, String reason, @Nullable String lastEventId) {
+    log.write(
+        "not continued",
+        "request",
+        requestId,
+        "target",
+        target,
+        "reason",
+        reason,
+        "after_event",
+        lastEventId);
+  }
+
   void retriedAfterServerError(String target, int status) {
     log.write("repeated after failure", "request", requestId, "target", target, "status", status);
   }
 
+  /** Logs an exception on the way of a request or its response. */
+  void stepFailed(RuntimeException error) {
+    StackTraceElement[] trace = error.getStackTrace();
+    log.write(
+        "internal error",
+        "request",
+        requestId,
+        "error",
+        error.toString(),
+        "at",
+        trace.length == 0 ? "" : trace[0].toString(),
+        "after_ms",
+        ageMillis());
+  }
+
   void callerDisconnected() {
     log.write("caller left", "request", requestId, "after_ms", ageMillis());
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -5,14 +5,17 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -33,14 +36,25 @@
   /** Most bytes of bodies that are skipped; a connection with more is not worth reading. */
   private static final int MAX_SKIPPED_BYTES = 65_536;
 
+  /** Longest time for the body of a skipped response; its length may cover the next response. */
+  private static final long MAX_SKIPPED_BODY_MS = 250;
+
+  /** Number of the latest request ids that a connection does not carry again. */
+  private static final int MAX_SENT_IDS = 256;
+
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
 
   private final TargetPool pool;
   private final String address;
   private final Dialect dialect;
+  private final ResponseDecoder decoder;
   private @Nullable Channel channel;
   private @Nullable ActiveCall activeCall;
   private boolean skippingResponse;
+  private boolean becomingIdle;
+  private boolean carriesEngineCalls;
+  private final Set<String> sentIds = new LinkedHashSet<>();
+  private boolean closing;
   private boolean keepAlive;
   private boolean failed;
   private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
@@ -51,19 +65,28 @@
     this.pool = pool;
     this.address = address;
     this.dialect = dialect;
+    this.decoder =
+        new ResponseDecoder(dialect.singularResponseHeaders(), this::acceptsBytes, this::hasNoBody);
   }
 
   /** The request in progress. */
   private final class ActiveCall implements TargetCall {
     private final String requestId;
+    private final boolean engineCall;
+    private final boolean headRequest;
     private final ResponseListener listener;
     private boolean requestWritten;
+    private boolean bytesReceived;
     private boolean headReceived;
+    private boolean identified;
+    private boolean foreignResponse;
     private int skippedResponses;
     private int skippedBytes;
 
-    ActiveCall(String requestId, ResponseListener listener) {
+    ActiveCall(String requestId, boolean engineCall, HttpMethod method, ResponseListener listener) {
       this.requestId = requestId;
+      this.engineCall = engineCall;
+      this.headRequest = method.equals(HttpMethod.HEAD);
       this.listener = listener;
     }
 
@@ -87,6 +110,11 @@
     return address;
   }
 
+  /** Returns the handler that precedes this one in the pipeline. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   long idleSince() {
     return idleSince;
   }
@@ -97,18 +125,43 @@
         && now - idleSince < keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
   }
 
+  boolean carriesEngineCalls() {
+    return carriesEngineCalls;
+  }
+
+  /** Returns whether a response to the request could be told from those to earlier ones. */
+  boolean isUsableFor(String requestId) {
+    return !requestId.isEmpty() && !carriesEngineCalls && !sentIds.contains(requestId);
+  }
+
   void close() {
+    closing = true;
+    becomingIdle = false;
     if (channel != null) {
       channel.close();
     }
   }
 
   TargetCall send(String requestId, FullHttpRequest request, ResponseListener listener) {
-    ActiveCall call = new ActiveCall(requestId, listener);
+    sentIds.add(requestId);
+    if (sentIds.size() > MAX_SENT_IDS) {
+      sentIds.remove(sentIds.iterator().next());
+    }
+    return send(new ActiveCall(requestId, false, request.method(), listener), request);
+  }
+
+  /** Sends a call whose response bears no request id; requests cannot use the connection then. */
+  TargetCall sendEngineCall(FullHttpRequest request, ResponseListener listener) {
+    carriesEngineCalls = true;
+    return send(new ActiveCall("", true, request.method(), listener), request);
+  }
+
+  private TargetCall send(ActiveCall call, FullHttpRequest request) {
     Channel open = channel;
     if (open == null || !open.isActive()) {
       request.release();
-      pool.loop().execute(() -> listener.onFailure(FailureKind.NOT_SENT, "connection is closed"));
+      pool.loop()
+          .execute(() -> call.listener.onFailure(FailureKind.NOT_SENT, "connection is closed"));
       return call;
     }
     activeCall = call;
@@ -128,16 +181,47 @@
     channel = context.channel();
   }
 
+  /** Accepts bytes for the decoder only while a request is in progress. */
+  private boolean acceptsBytes(int count) {
+    ActiveCall call = activeCall;
+    if (call != null) {
+      call.bytesReceived = true;
+    } else if (!closing) {
+      // Bytes outside of a response cannot be assigned to a request.
+      logForeignBytes("bytes outside of a response", count);
+      pool.removeIdle(this);
+      close();
+    }
+    return call != null;
+  }
+
+  private boolean hasNoBody(HttpResponse response) {
+    ActiveCall call = activeCall;
+    return call != null
+        && call.headRequest
+        && owner(call, response) == ResponseOwner.CURRENT_REQUEST;
+  }
+
+  private ResponseOwner owner(ActiveCall call, HttpResponse response) {
+    Optional<String> id = dialect.requestId(response);
+    return call.engineCall
+        ? ResponseOwner.ofEngineCall(id)
+        : ResponseOwner.of(call.requestId, id, completedResponses > 0);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
+      ActiveCall call = activeCall;
+      if (call == null) {
+        return;
+      }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        fail("malformed response: " + part.decoderResult().cause());
-      } else if (activeCall == null) {
-        // Data outside of a response cannot be assigned to a request.
-        close();
+        String reason = "malformed response: " + part.decoderResult().cause();
+        logForeignBytes(reason, decoder.undecodedBytes());
+        fail(reason);
       } else {
-        accept(message, activeCall);
+        accept(message, call);
       }
     } finally {
       ReferenceCountUtil.release(message);
@@ -146,18 +230,7 @@
 
   private void accept(Object message, ActiveCall call) {
     if (message instanceof HttpResponse head) {
-      Optional<String> id = dialect.requestId(head);
-      skippingResponse =
-          head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-              || (id.isPresent() && !call.requestId.isEmpty() && !id.get().equals(call.requestId));
-      if (skippingResponse) {
-        call.skippedResponses++;
-      } else {
-        call.headReceived = true;
-        keepAlive = HttpUtil.isKeepAlive(head);
-        keepAliveNanos = keepAliveNanos(head);
-        call.listener.onHead(head);
-      }
+      acceptHead(head, call);
     }
     if (skippingResponse && message instanceof HttpContent skipped) {
       call.skippedBytes += skipped.content().readableBytes();
@@ -168,7 +241,7 @@
     }
     if (message instanceof HttpContent content && activeCall == call) {
       if (!skippingResponse && call.headReceived && content.content().isReadable()) {
-        call.listener.onContent(content.content());
+        callListener(call, () -> call.listener.onContent(content.content()));
       }
       if (message instanceof LastHttpContent && activeCall == call) {
         finish(call);
@@ -176,6 +249,44 @@
     }
   }
 
+  private void acceptHead(HttpResponse head, ActiveCall call) {
+    boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    ResponseOwner owner = informational ? ResponseOwner.OTHER_REQUEST : owner(call, head);
+    skippingResponse = owner == ResponseOwner.OTHER_REQUEST;
+    if (owner == ResponseOwner.UNKNOWN) {
+      logForeignBytes("response without request id", decoder.undecodedBytes());
+      fail("response without request id on a reused connection");
+    } else if (informational) {
+      call.skippedResponses++;
+    } else if (skippingResponse) {
+      skipForeignResponse(head, call);
+    } else {
+      call.headReceived = true;
+      call.identified = dialect.requestId(head).isPresent();
+      keepAlive = HttpUtil.isKeepAlive(head);
+      keepAliveNanos = keepAliveNanos(head);
+      callListener(call, () -> call.listener.onHead(head));
+    }
+  }
+
+  private void skipForeignResponse(HttpResponse head, ActiveCall call) {
+    call.skippedResponses++;
+    call.foreignResponse = true;
+    int skipped = call.skippedResponses;
+    logForeignBytes(
+        "response with status " + head.status().code() + " for another request",
+        decoder.undecodedBytes());
+    pool.loop()
+        .schedule(
+            () -> {
+              if (activeCall == call && skippingResponse && call.skippedResponses == skipped) {
+                fail("another request's response does not end");
+              }
+            },
+            MAX_SKIPPED_BODY_MS,
+            TimeUnit.MILLISECONDS);
+  }
+
   private void finish(ActiveCall call) {
     if (skippingResponse) {
       skippingResponse = false;
@@ -188,14 +299,45 @@
     activeCall = null;
     completedResponses++;
     idleSince = System.nanoTime();
+    int undecoded = decoder.undecodedBytes();
+    if (undecoded > 0) {
+      logForeignBytes("bytes after the end of a response", undecoded);
+    }
     Channel open = channel;
-    if (keepAlive && call.requestWritten && open != null && open.isActive()) {
+    if (undecoded == 0 && mayKeep(call) && open != null && open.isActive()) {
       open.config().setAutoRead(true);
-      pool.addIdle(this);
+      becomingIdle = true;
     } else {
       close();
     }
-    call.listener.onComplete();
+    callListener(call, call.listener::onComplete);
+  }
+
+  private boolean mayKeep(ActiveCall call) {
+    boolean verified = call.engineCall || (call.identified && !call.requestId.isEmpty());
+    return keepAlive && call.requestWritten && verified && !call.foreignResponse;
+  }
+
+  /** Calls the listener; an exception that it throws is a failure of its request. */
+  private void callListener(ActiveCall call, Runnable callback) {
+    try {
+      callback.run();
+    } catch (RuntimeException e) {
+      pool.log()
+          .write("listener failed", "address", address, "request", call.requestId, "reason", e);
+      activeCall = null;
+      close();
+      call.listener.onFailure(FailureKind.INCOMPLETE, "response could not be processed: " + e);
+    }
+  }
+
+  /** Makes the connection available again, unless the read has brought more than the response. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (becomingIdle) {
+      becomingIdle = false;
+      pool.addIdle(this);
+    }
   }
 
   private static long keepAliveNanos(HttpResponse head) {
@@ -209,6 +351,27 @@
         : DEFAULT_KEEP_ALIVE_NANOS;
   }
 
+  /** Logs bytes that belong to no request of this connection. */
+  private void logForeignBytes(String reason, int undecodedBytes) {
+    ActiveCall call = activeCall;
+    long idleNanos = call == null && completedResponses > 0 ? System.nanoTime() - idleSince : 0;
+    pool.log()
+        .write(
+            "foreign bytes from target",
+            "address",
+            address,
+            "reason",
+            reason,
+            "bytes",
+            undecodedBytes,
+            "request",
+            call == null ? "" : call.requestId,
+            "answered_before",
+            completedResponses,
+            "idle_ms",
+            TimeUnit.NANOSECONDS.toMillis(idleNanos));
+  }
+
   private void fail(String reason) {
     ActiveCall call = activeCall;
     activeCall = null;
@@ -216,7 +379,7 @@
     pool.removeIdle(this);
     close();
     if (call != null) {
-      boolean staleConnection = completedResponses > 0 && !call.headReceived;
+      boolean staleConnection = completedResponses > 0 && !call.bytesReceived;
       call.listener.onFailure(
           staleConnection ? FailureKind.STALE_CONNECTION : FailureKind.INCOMPLETE, reason);
     }
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -2,14 +2,21 @@
 
 import com.google.common.base.Splitter;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
 import org.clementinesail.core.placement.PlacementController.Order;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
-final class ShortHeaderDialect implements Dialect, EngineDialect {
+class ShortHeaderDialect implements Dialect, EngineDialect {
+  /** Header of a request that causes an exception when it is prepared for a target. */
+  static final String ERROR = "Error";
+
   @Override
   public RequestMetadata readMetadata(HttpRequest request) {
     HttpHeaders headers = request.headers();
@@ -27,6 +34,9 @@
 
   @Override
   public void prepareForTarget(HttpHeaders headers, ForwardingInfo forwarding) {
+    if (headers.contains(ERROR)) {
+      throw new IllegalStateException("the request has the header " + ERROR);
+    }
     headers.remove("Key");
     headers.set("Timeout-Ms", forwarding.timeoutMillis());
     headers.set("Target", forwarding.targetId());
@@ -53,11 +63,31 @@
     return Optional.ofNullable(response.headers().get("Id"));
   }
 
+  @Override
+  public Set<String> singularResponseHeaders() {
+    return Set.of("id", "proof");
+  }
+
   @Override
   public Optional<String> faultyAddress(HttpResponse response) {
     return Optional.empty();
   }
 
+  @Override
+  public boolean isLeaving(HttpResponse response) {
+    return "1".equals(response.headers().get("Leaving"));
+  }
+
+  @Override
+  public OptionalDouble deferralSeconds(HttpResponse response) {
+    String value = response.headers().get(HttpHeaderNames.RETRY_AFTER, "").strip();
+    boolean unavailable = response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    // Not every text that Java parses as a number is one here, such as NaN, 1e400 and 0x1p3.
+    return unavailable && value.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")
+        ? OptionalDouble.of(Double.parseDouble(value))
+        : OptionalDouble.empty();
+  }
+
   @Override
   public void setRetryAfter(HttpHeaders headers, double seconds) {
     headers.set("Retry-After", seconds);
