Ask an engine again after the end of a kept connection

Found by the review: a report that was asked for on a kept connection which the engine or a reset had ended counted as a failed engine. It became suspect for 3 s, streams on it got second runs, and the loss was recorded as a crash of all parts of a request. Cause: EngineProbe ignored the kind of the failure. It asks once more on a new connection now.

EngineProbeTest.endOfAKeptConnectionIsNotAnEngineFailure, before: Failed[report=EngineReport[id=e1, reachable=false ...; after: passes.

--- a/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/EngineProbe.java
@@ -99,15 +99,15 @@
   }
 
   private void send(String id, String address, Consumer<Result> onResult) {
-    PendingReport started = new PendingReport(id, onResult);
+    PendingReport started = new PendingReport(id, address, onResult);
     pending.put(id, started);
-    started.call =
-        pool.sendEngineCall(address, dialect.reportRequest(address), MAX_IDLE_NANOS, started);
+    started.send(MAX_IDLE_NANOS);
     started.startTimeout();
   }
 
   private final class PendingReport implements ResponseListener {
     private final String id;
+    private final String address;
     private final List<Consumer<Result>> listeners = new ArrayList<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetCall call = new UnsentCall();
@@ -116,11 +116,16 @@
     private boolean success;
     private boolean finished;
 
-    PendingReport(String id, Consumer<Result> onResult) {
+    PendingReport(String id, String address, Consumer<Result> onResult) {
       this.id = id;
+      this.address = address;
       this.listeners.add(onResult);
     }
 
+    void send(long maxIdleNanos) {
+      call = pool.sendEngineCall(address, dialect.reportRequest(address), maxIdleNanos, this);
+    }
+
     @Override
     public void onHead(HttpResponse head) {
       success = head.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -152,6 +157,11 @@
 
     @Override
     public void onFailure(FailureKind kind, String reason) {
+      if (kind == FailureKind.STALE_CONNECTION) {
+        // The end of a kept connection says nothing about the engine.
+        send(0);
+        return;
+      }
       finish(new Failed(EngineReport.unreachable(id, System.nanoTime()), reason));
     }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/EngineProbeTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/EngineProbeTest.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -9,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.clementinesail.server.logging.DecisionLog;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -64,6 +66,21 @@
     assertTrue(results.poll(RESULT_TIMEOUT_S, TimeUnit.SECONDS) instanceof EngineProbe.Failed);
   }
 
+  /** A kept connection that the engine has ended says nothing about the engine. */
+  @Test
+  public void endOfAKeptConnectionIsNotAnEngineFailure() throws Exception {
+    AtomicInteger count = new AtomicInteger();
+    engine.script =
+        request ->
+            count.incrementAndGet() == 2 ? ScriptedTarget.RESET : IdleEngineDialect.REPORT_RESPONSE;
+    for (int i = 0; i < 2; i++) {
+      loop.execute(() -> probe.requestReport("e1", engine.address(), results::add));
+      EngineProbe.Result result = results.poll(RESULT_TIMEOUT_S, TimeUnit.SECONDS);
+      assertTrue(result instanceof EngineProbe.Reported, String.valueOf(result));
+    }
+    assertEquals(engine.requests.size(), 3);
+  }
+
   private static void blockLoop() {
     try {
       TimeUnit.MILLISECONDS.sleep(LOOP_BLOCKED_MS);
