Read on from the attempt that is kept when the other one ends

Found by the review: a slow caller's stream stood still until its deadline. Reading from the first attempt was paused for the caller; while the second attempt was the current one only that one was told to read on, and when it was refused, nothing resumed the first. Both are told now, and the one that goes on reads as the caller allows.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
@@ -49,6 +49,11 @@
     deadTargets.add(target);
   }
 
+  /** Takes back that a target ended: it goes on with the request. */
+  void removeDeadTarget(String target) {
+    deadTargets.remove(target);
+  }
+
   /** Records that the request is sent once more to a target that it may have run on. */
   void recordResend(String target) {
     resentTo.add(target);
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -39,23 +39,24 @@
       excludedTargets.add(from.target().id());
     }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal(from, "targets refused the request");
+    retryAfterRefusal(exchange.otherGoesOn(from, false), "targets refused the request");
   }
 
   /** Handles a failed connection: nothing of the request reached the target. */
   void onNotSent(Attempt from, String reason) {
+    boolean otherGoesOn = exchange.otherGoesOn(from, false);
     String target = from.target().id();
     if (counts.mayHaveRunOn(target)) {
       counts.recordDeadTarget(target);
     }
     context.faults().markSuspect(from.target().address(), reason);
     excludedTargets.add(target);
-    retryAfterRefusal(from, "no target could be reached");
+    retryAfterRefusal(otherGoesOn, "no target could be reached");
   }
 
-  private void retryAfterRefusal(Attempt from, String reason) {
+  private void retryAfterRefusal(boolean otherGoesOn, String reason) {
     counts.recordRefusal();
-    if (exchange.otherGoesOn(from, false)) {
+    if (otherGoesOn) {
       return;
     }
     if (counts.refusalLimitReached()) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -138,10 +138,10 @@
 
   private void send(
       RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
-    counts.recordSent();
-    partGuard.onSent();
     ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, info);
+    counts.recordSent();
+    partGuard.onSent();
     Attempt next = new Attempt(this, context, choice, route, model);
     attempt = next;
     next.start(request, metadata, newConnection);
@@ -193,6 +193,7 @@
   /** Returns whether another attempt of the request goes on after one has failed. */
   boolean otherGoesOn(Attempt failed, boolean possibleRun) {
     attempt = stalled.afterFailure(failed, attempt, possibleRun);
+    onCallerWritabilityChanged(caller.isWritable());
     return attempt != null;
   }
 
@@ -216,10 +217,7 @@
     return progress().mayContinue() && counts.mayResend(route, from.target().id());
   }
 
-  /**
-   * Sends the request again to the target of a failed attempt, on a new connection; returns false
-   * if the target accepts no requests now.
-   */
+  /** Sends the request again on a new connection; returns false if its target takes none now. */
   boolean resend(Attempt from) {
     Service chosen = service;
     if (finished || chosen == null) {
@@ -271,6 +269,7 @@
   }
 
   void onCallerWritabilityChanged(boolean writable) {
+    stalled.setReading(writable);
     if (attempt != null) {
       attempt.setReading(writable);
     }
@@ -343,19 +342,19 @@
     try {
       check.run();
     } catch (RuntimeException e) {
-      if (attempt == null) {
+      if (attempt == null || !checkFailed) {
         log.stepFailed(e);
+      }
+      checkFailed = true;
+      if (attempt == null) {
         endAfterError();
-      } else if (!checkFailed) {
-        checkFailed = true;
-        log.stepFailed(e);
       }
     }
   }
 
   private void endAfterError() {
     try {
-      if (attempt == null) {
+      if (counts.sentCount() == 0) {
         giveUp("internal error");
       }
     } catch (RuntimeException e) {
--- a/server/src/main/java/org/clementinesail/server/proxy/StalledAttempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/StalledAttempt.java
@@ -27,6 +27,13 @@
     counts.recordPossibleRun(attempt.target().id());
   }
 
+  /** Pauses or resumes reading the response of the attempt that is kept. */
+  void setReading(boolean reading) {
+    if (stalled != null) {
+      stalled.setReading(reading);
+    }
+  }
+
   /** Cancels the attempt that is kept, if there is one. */
   void cancel() {
     if (stalled != null) {
@@ -43,7 +50,8 @@
     }
     stalled = null;
     counts.removePossibleRun(progressing.target().id());
-    if (current != null) {
+    counts.removeDeadTarget(progressing.target().id());
+    if (current != null && current != progressing) {
       counts.recordPossibleRun(current.target().id());
       current.cancel();
     }
--- a/server/src/test/java/org/clementinesail/server/proxy/SilentEngineTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/SilentEngineTest.java
@@ -3,6 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -134,6 +137,30 @@
         });
   }
 
+  /** A stream whose caller reads late goes on after the attempt beside it was refused. */
+  @Test
+  public void slowCallersStreamGoesOnAfterARefusalBesideIt() throws Exception {
+    submitRoute(2);
+    StringBuilder events = new StringBuilder();
+    for (int id = 1; id <= 3_000; id++) {
+      events.append(event(id).replace("data: ", "data: " + "x".repeat(4_000)));
+    }
+    String script = stream(events.toString());
+    addEngine("e1", first, script);
+    first.script = request -> request.startsWith("GET /report") ? ScriptedTarget.HANG : script;
+    addSecondEngineLater(ScriptedTarget.SILENCE + REFUSAL);
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(10_000);
+      String headers = "Host: shop\r\nId: r1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+      String request = "POST /stream/x HTTP/1.1\r\n" + headers;
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      TimeUnit.MILLISECONDS.sleep(1_000);
+      byte[] bytes = socket.getInputStream().readAllBytes();
+      String text = new String(bytes, StandardCharsets.ISO_8859_1);
+      assertTrue(text.endsWith("0\r\n\r\n"), text.length() + " characters; " + logged());
+    }
+  }
+
   private String callStream() throws Exception {
     Future<String> response = threads.submit(() -> call("POST", "/stream/x", "", "p"));
     return response.get(20, TimeUnit.SECONDS);
