Close a caller's connection only after all that was read is answered and sent

Found by the review, all three at the end of a caller's connection: - A refusal that waited behind a stream that broke off was sent to the closed connection again and again, by a task that queued itself; one such connection kept the event loop busy for good. A closed connection starts nothing more now. - A request behind a plain one was read and got no answer during a planned stop, since the first answer announced the close. It is announced with the last one now. - A response whose end was still in the write buffer counted as idle, and a planned stop or the idle limit cut it off. The idle time begins when the last write has been sent.

Before: ClosingConnectionTest with refusalBehindABrokenStreamEndsWithIt did not end within 170 s; requestBehindAPlainOneIsAnsweredDuringAStop expected [2] but found [1]; CallerConnectionTest.responseThatIsNotSentYetIsNotIdle expected [true] but found [false].

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -22,8 +22,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -56,15 +54,13 @@
   private boolean responseBroken;
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
+  private int unsentWrites;
   private long idleSince = System.nanoTime();
   private long idleUntil;
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
   private record ReceivedRequest(HttpRequest head, ByteBuf body, long receivedAt) {}
 
-  /** Status for bytes that are no request that can be processed; ends the connection. */
-  private record Refusal(HttpResponseStatus status, String reason) {}
-
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
@@ -84,7 +80,7 @@
         return;
       }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        refuseUnreadable(part.decoderResult().cause());
+        refuseAndClose(Refusal.ofUnreadable(part.decoderResult().cause()));
         return;
       }
       if (message instanceof HttpRequest request) {
@@ -115,7 +111,7 @@
     }
     if (body.readableBytes() + content.content().readableBytes() > limits().maxBodyBytes()) {
       bodyRefused = true;
-      refuseAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      refuseAndClose(Refusal.ofTooLargeBody());
       return;
     }
     body.writeBytes(content.content());
@@ -163,19 +159,9 @@
     sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
   }
 
-  private void refuseUnreadable(Throwable cause) {
-    boolean tooLong =
-        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-    refuseAndClose(
-        tooLong
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST,
-        String.valueOf(cause.getMessage()));
-  }
-
   /** Refuses further requests, after the responses to those that have been read. */
-  private void refuseAndClose(HttpResponseStatus status, String reason) {
-    refusal = new Refusal(status, reason);
+  private void refuseAndClose(Refusal next) {
+    refusal = next;
     startNextRequest();
   }
 
@@ -212,10 +198,11 @@
     response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
     HttpUtil.setContentLength(response, content.readableBytes());
     boolean close = setConnectionClose(response);
-    ChannelFuture written = open.writeAndFlush(response).addListener(this::onWritten);
+    ChannelFuture written = write(open, response);
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
+    open.flush();
     exchangeFinished();
   }
 
@@ -235,15 +222,13 @@
     HttpUtil.setTransferEncodingChunked(response, true);
     setConnectionClose(response);
     responseBegun = true;
-    open.write(response).addListener(this::onWritten);
+    write(open, response);
   }
 
   /** Writes a copy of a part of a chunked response, without a flush. */
   void writePart(ByteBuf content) {
     if (channel != null) {
-      channel
-          .write(new DefaultHttpContent(Unpooled.copiedBuffer(content)))
-          .addListener(this::onWritten);
+      write(channel, new DefaultHttpContent(Unpooled.copiedBuffer(content)));
     }
   }
 
@@ -257,12 +242,12 @@
   /** Completes a chunked response and ends the exchange. */
   void endResponse() {
     if (channel != null) {
-      ChannelFuture written =
-          channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::onWritten);
-      if (closeAfterResponse || (server.draining() && waiting.isEmpty() && refusal == null)) {
+      ChannelFuture written = write(channel, LastHttpContent.EMPTY_LAST_CONTENT);
+      if (endsConnection()) {
         lastResponseSent = true;
         written.addListener(ChannelFutureListener.CLOSE);
       }
+      channel.flush();
     }
     exchangeFinished();
   }
@@ -280,8 +265,17 @@
     }
   }
 
+  private ChannelFuture write(Channel open, Object message) {
+    unsentWrites++;
+    return open.write(message).addListener(this::onWritten);
+  }
+
   /** A response that cannot be written has no other end than that of the connection. */
   private void onWritten(Future<? super Void> written) {
+    unsentWrites--;
+    if (exchange == null) {
+      beginIdleTime();
+    }
     if (!written.isSuccess() && !(written.cause() instanceof ClosedChannelException)) {
       breakOff("write failed: " + written.cause());
     }
@@ -300,8 +294,13 @@
     return channel != null && channel.isWritable();
   }
 
+  /** Returns whether the connection ends after the current response. */
+  private boolean endsConnection() {
+    return closeAfterResponse || (server.draining() && waiting.isEmpty() && refusal == null);
+  }
+
   private boolean setConnectionClose(HttpResponse response) {
-    boolean close = closeAfterResponse || server.draining();
+    boolean close = endsConnection();
     if (close) {
       closeAfterResponse = true;
       lastResponseSent = true;
@@ -314,8 +313,7 @@
     Exchange ended = exchange;
     exchange = null;
     responseBegun = false;
-    idleSince = System.nanoTime();
-    idleUntil = idleSince + idleLimitNanos();
+    beginIdleTime();
     if (ended != null) {
       server.exchangeEnded(ended);
     }
@@ -324,6 +322,11 @@
     }
   }
 
+  private void beginIdleTime() {
+    idleSince = System.nanoTime();
+    idleUntil = idleSince + idleLimitNanos();
+  }
+
   /**
    * Closes the connection if it has had no request for at least the given time and none has
    * arrived; what has arrived while the event loop was busy is read first.
@@ -343,13 +346,10 @@
   }
 
   private boolean isIdle() {
-    return exchange == null && head == null && waiting.isEmpty();
+    return exchange == null && head == null && waiting.isEmpty() && unsentWrites == 0;
   }
 
-  /**
-   * Closes the connection if it has been idle for the idle timeout of callers. A version with a
-   * shorter one holds from the next idle time on, as callers may not know it yet.
-   */
+  /** Closes the connection after the idle timeout that its caller knew when it became idle. */
   void closeIfExpired(long now) {
     if (now - idleUntil >= 0) {
       closeIfIdle(now, idleLimitNanos());
@@ -361,6 +361,7 @@
   }
 
   void close() {
+    lastResponseSent = true;
     if (channel != null) {
       channel.close();
     }
@@ -376,6 +377,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.connectionClosed(this);
+    lastResponseSent = true;
     waiting.forEach(received -> received.body().release());
     waiting.clear();
     Exchange open = exchange;
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -16,6 +16,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.logging.DecisionLog;
@@ -112,6 +114,36 @@
     assertBrokenOff();
   }
 
+  /** A response whose end has not been sent yet is not cut off as idle. */
+  @Test
+  public void responseThatIsNotSentYetIsNotIdle() throws Exception {
+    SlowHandler slow = new SlowHandler();
+    channel.pipeline().addFirst(slow);
+    beginResponse();
+    connection.endResponse();
+    long later = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    connection.closeIfIdle(later, TimeUnit.SECONDS.toNanos(1));
+    TimeUnit.MILLISECONDS.sleep(100);
+    assertTrue(channel.isOpen());
+    slow.unsent.forEach(ChannelPromise::setSuccess);
+    connection.closeIfIdle(later, TimeUnit.SECONDS.toNanos(1));
+    for (int i = 0; i < 100 && channel.isOpen(); i++) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertFalse(channel.isOpen());
+  }
+
+  /** Keeps all writes unsent. */
+  private static final class SlowHandler extends ChannelOutboundHandlerAdapter {
+    final List<ChannelPromise> unsent = new ArrayList<>();
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      ReferenceCountUtil.release(message);
+      unsent.add(promise);
+    }
+  }
+
   /** Fails all writes of parts. */
   private static final class RefusingHandler extends ChannelOutboundHandlerAdapter {
     @Override
--- a/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
@@ -114,6 +114,35 @@
     }
   }
 
+  /** A request behind a plain one in progress is answered during a planned stop. */
+  @Test
+  public void requestBehindAPlainOneIsAnsweredDuringAStop() throws Exception {
+    startTargets(ScriptedTarget.SILENCE + OK_RESPONSE);
+    applyVersion(2, RequestLimits.DEFAULT.idleTimeoutMillis());
+    try (Socket socket = connect()) {
+      write(socket, request("/once/x", "") + request("/once/x", ""));
+      while (first.requests.isEmpty()) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      loop.submit(proxy::drain).sync();
+      assertEquals(statuses(readAll(socket)), List.of("200", "200"));
+    }
+  }
+
+  /** A refusal that waits behind a stream that breaks off is dropped and keeps no thread busy. */
+  @Test
+  public void refusalBehindABrokenStreamEndsWithIt() throws Exception {
+    String stream = EVENT_STREAM_HEAD + "Content-Length: 999\r\n\r\n" + event(1);
+    startTargets(stream + ScriptedTarget.SILENCE + ScriptedTarget.RESET);
+    applyVersion(2, RequestLimits.DEFAULT.idleTimeoutMillis());
+    try (Socket socket = connect()) {
+      write(socket, request("/stream/x", "") + "POST /once/x HTTP/x\r\n\r\n");
+      assertEquals(statuses(readAll(socket)), List.of("200"));
+    }
+    TimeUnit.MILLISECONDS.sleep(300);
+    assertFalse(logged().contains("unreadable"), logged());
+  }
+
   private static Route route(String name, Route.Kind kind) {
     return new Route(
         name,
