--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -206,7 +206,7 @@
     Optional<String> id = dialect.requestId(response);
     return call.engineCall
         ? ResponseOwner.ofEngineCall(id)
-        : ResponseOwner.of(call.requestId, id, completedResponses > 0 || call.foreignResponse);
+        : ResponseOwner.of(call.requestId, id, completedResponses > 0);
   }
 
   @Override
