--- a/core/src/test/java/org/clementinesail/core/crashes/CrashFleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/CrashFleetTest.java
@@ -3,7 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -133,7 +133,7 @@
       }
       crashedAt.add(now);
       target.calls.add(call);
-      Set<Call> lost = new HashSet<>(target.calls);
+      List<Call> lost = List.copyOf(target.calls);
       String lifetime = target.name + "@" + target.upAt;
       target.calls.clear();
       target.upAt = now + RESTART_MS;
@@ -183,7 +183,7 @@
 
   private static final class Target {
     final String name;
-    final Set<Call> calls = new HashSet<>();
+    final Set<Call> calls = new LinkedHashSet<>();
     long upAt;
 
     Target(String name) {
