Refuse a request under which three targets without layers have ended

Cause: crashes were recorded for engines only, as the check after a lost answer asks for a report, and the key of the request as a whole was empty for other services.

A target that has lost a request and refuses a connection has ended; this is recorded for the request on all kinds of routes, and shared with the other VMs as before. A target that accepts the connection, or does not respond, is not blamed on the request. Only a complete success clears it. The decisions on retries move from Exchange to AttemptFailures, which is their only user.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -39,7 +39,7 @@
       excludedTargets.add(from.target().id());
     }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal(exchange.otherGoesOn(from, false), "targets refused the request");
+    retryAfterRefusal(from, exchange.otherGoesOn(from, false), "targets refused the request");
   }
 
   /** Handles a failed connection: nothing of the request reached the target. */
@@ -51,10 +51,10 @@
     }
     context.faults().markSuspect(from.target().address(), reason);
     excludedTargets.add(target);
-    retryAfterRefusal(otherGoesOn, "no target could be reached");
+    retryAfterRefusal(from, otherGoesOn, "no target could be reached");
   }
 
-  private void retryAfterRefusal(boolean otherGoesOn, String reason) {
+  private void retryAfterRefusal(Attempt from, boolean otherGoesOn, String reason) {
     counts.recordRefusal();
     if (otherGoesOn) {
       return;
@@ -62,12 +62,25 @@
     if (counts.refusalLimitReached()) {
       exchange.giveUp(reason);
     } else {
-      tryAnother(reason);
+      tryAnother(from, reason);
     }
   }
 
-  private void tryAnother(String reason) {
-    if (exchange.mayTryAnother()) {
+  /** Returns whether another target may get the request if an attempt is given up. */
+  boolean mayRetry(Attempt from) {
+    return mayContinue() && counts.mayRetry(from.route(), from.target().id());
+  }
+
+  private boolean mayResend(Attempt from) {
+    return mayContinue() && counts.mayResend(from.route(), from.target().id());
+  }
+
+  private boolean mayContinue() {
+    return exchange.sender().progress().mayContinue();
+  }
+
+  private void tryAnother(Attempt from, String reason) {
+    if (mayContinue() && counts.mayTryAnother(from.route())) {
       exchange.tryNextTarget();
     } else {
       exchange.giveUp(reason);
@@ -79,7 +92,7 @@
     String target = from.target().id();
     log.responseLost(target, reason);
     boolean otherGoesOn = exchange.otherGoesOn(from, true);
-    if (!otherGoesOn && staleConnection && exchange.mayResend(from)) {
+    if (!otherGoesOn && staleConnection && mayResend(from)) {
       counts.recordPossibleRun(target);
       partGuard.afterLoss(from, () -> exchange.guard(() -> resend(from, reason)));
       return;
@@ -92,7 +105,7 @@
       partGuard.afterLoss(from, () -> {});
       return;
     }
-    boolean retry = exchange.mayRetry(from);
+    boolean retry = mayRetry(from);
     counts.recordPossibleRun(target);
     Runnable next =
         retry
@@ -104,7 +117,7 @@
   private void resend(Attempt from, String reason) {
     if (!exchange.resend(from)) {
       excludedTargets.add(from.target().id());
-      tryAnother(reason);
+      tryAnother(from, reason);
     }
   }
 
@@ -117,13 +130,14 @@
       return;
     }
     counts.recordPossibleRun(target);
-    tryAnother(reason);
+    tryAnother(from, reason);
   }
 
   /** Fails a response that was partly sent to the caller and cannot be continued. */
   void onPartialResponseLost(Attempt from, String reason) {
     exchange.endAttempt();
     counts.recordPossibleRun(from.target().id());
+    partGuard.afterLoss(from, () -> {});
     exchange.fail(HttpResponseStatus.BAD_GATEWAY, reason);
   }
 
@@ -137,7 +151,7 @@
       excludedTargets.add(target);
       return true;
     }
-    if (!exchange.mayRetry(from)) {
+    if (!mayRetry(from)) {
       return false;
     }
     counts.recordPossibleRun(target);
--- a/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
@@ -14,16 +14,18 @@
 import org.clementinesail.server.logging.DecisionLog;
 
 /**
- * Records which parts were in requests when engines crashed, and exchanges this with the other VMs.
+ * Records which parts were in requests when targets crashed, and exchanges this with the other VMs.
  * Confined to the event loop.
  */
 public final class CrashReports {
   /** Time for which changes are collected, so that a crash with many requests is one message. */
   private static final long SEND_DELAY_MS = 5;
 
-  /** Longest wait for a crashed engine to refuse a connection before a request is retried. */
+  /** Longest wait for a crashed target to refuse a connection before a request is retried. */
   private static final long MAX_CONFIRM_MS = 50;
 
+  private static final long MAX_RESULT_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final EventLoop loop;
   private final FaultDetector faults;
   private final DecisionLog log;
@@ -81,7 +83,7 @@
     parts.recordSent(keys, now);
   }
 
-  /** Clears the parts of a request that an engine has begun to answer. */
+  /** Clears the parts of a request that a target has answered. */
   void recordAnswer(Collection<Long> keys) {
     List<CrashRecord> cleared = parts.recordAnswer(keys, System.nanoTime());
     if (!cleared.isEmpty()) {
@@ -90,31 +92,57 @@
   }
 
   /**
-   * Records a crash if an engine that lost a request before it answered does not report any more.
+   * A request that a target has lost before it answered.
    *
-   * @param target the engine
+   * @param target the target
+   * @param engine whether the target reports as an engine
    * @param keys parts of the request
    * @param sentAt when the request was sent, in nanoseconds of the monotonic clock
-   * @param next called afterwards, or after 50 ms if the engine neither reports nor refuses
    */
-  void checkAfterLoss(TargetStatement target, List<Long> keys, long sentAt, Runnable next) {
+  record Loss(TargetStatement target, boolean engine, List<Long> keys, long sentAt) {}
+
+  /**
+   * Records a crash if the target that lost a request has ended.
+   *
+   * @param loss the request
+   * @param next called afterwards, or after 50 ms if the target neither responds nor refuses
+   */
+  void checkAfterLoss(Loss loss, Runnable next) {
     long lostAt = System.nanoTime();
     OneTimeTask once = new OneTimeTask(next);
     loop.schedule(once, MAX_CONFIRM_MS, TimeUnit.MILLISECONDS);
-    faults.checkEngine(
-        target,
-        reachable -> {
-          if (!reachable) {
-            recordCrash(target, keys, sentAt, lostAt);
-          }
+    Consumer<Boolean> onChecked =
+        ended -> {
+          recordIfEnded(loss, lostAt, ended);
           once.run();
-        });
+        };
+    if (loss.engine()) {
+      faults.checkEngine(loss.target(), onChecked);
+    } else {
+      faults.checkListener(loss.target(), 0, onChecked);
+    }
+  }
+
+  /**
+   * Records a crash if a target without reports, which has not answered a request in time, has
+   * ended. Many requests may be late at once, so results of the last second are used again.
+   */
+  void checkAfterTimeout(Loss loss) {
+    long lostAt = System.nanoTime();
+    faults.checkListener(
+        loss.target(), MAX_RESULT_AGE_NANOS, ended -> recordIfEnded(loss, lostAt, ended));
+  }
+
+  private void recordIfEnded(Loss loss, long lostAt, boolean ended) {
+    if (ended) {
+      recordCrash(loss.target(), loss.keys(), loss.sentAt(), lostAt);
+    }
   }
 
   private void recordCrash(TargetStatement target, List<Long> keys, long sentAt, long lostAt) {
     String start = target.id() + "@" + target.startedAtMillis();
     CrashRecord.Crash crash = new CrashRecord.Crash(start, sentAt, lostAt);
-    log.write("engine crashed", "target", target.id(), "parts", names(keys));
+    log.write("target crashed", "target", target.id(), "parts", names(keys));
     send(keys.stream().map(key -> parts.recordCrash(key, crash)).toList());
     keys.forEach(key -> logRefusal(key, lostAt));
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -108,7 +108,7 @@
     long now = System.nanoTime();
     OptionalDouble refusedSeconds = partGuard.refusedSeconds(now);
     if (refusedSeconds.isPresent()) {
-      giveUp("a part of the request crashes engines", refusedSeconds.getAsDouble());
+      giveUp("the request or a part of it crashes targets", refusedSeconds.getAsDouble());
       return;
     }
     var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
@@ -167,7 +167,7 @@
   /** Sends the request on another path too, if there is one and the route and budget allow it. */
   private void tryOtherPath(Attempt from, long now) {
     Service chosen = service;
-    if (chosen == null || counts.refusalLimitReached() || !mayRetry(from)) {
+    if (chosen == null || counts.refusalLimitReached() || !failures.mayRetry(from)) {
       return;
     }
     Set<String> suspects = context.faults().suspects(from.path());
@@ -202,21 +202,6 @@
     attempt = null;
   }
 
-  /** Returns whether another target may get the request if an attempt is given up. */
-  boolean mayRetry(Attempt from) {
-    return progress().mayContinue() && counts.mayRetry(route, from.target().id());
-  }
-
-  /** Returns whether another target may get the request after all attempts that have failed. */
-  boolean mayTryAnother() {
-    return progress().mayContinue() && counts.mayTryAnother(route);
-  }
-
-  /** Returns whether the target of a failed attempt may get the request again. */
-  boolean mayResend(Attempt from) {
-    return progress().mayContinue() && counts.mayResend(route, from.target().id());
-  }
-
   /** Sends the request again on a new connection; returns false if its target takes none now. */
   boolean resend(Attempt from) {
     Service chosen = service;
@@ -251,6 +236,7 @@
     if (!progress().started()) {
       sendWholeResponse(response, Unpooled.EMPTY_BUFFER);
     } else if (!finished) {
+      partGuard.onAnswered(response.status());
       sender.end();
       finish("answered");
     }
@@ -283,6 +269,9 @@
 
   /** Ends the request without a target's response: 503 if it has certainly not run, else 504. */
   void end(String reason) {
+    if (attempt != null) {
+      partGuard.afterTimeout(attempt);
+    }
     if (counts.certainlyNotRun() && attempt == null) {
       refuse(reason, RetryAfter.SECONDS);
     } else {
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
@@ -28,13 +28,16 @@
 
   private final RoutingState routing;
   private final EngineProbe probe;
+  private final ListenerCheck listenerCheck;
   private final DecisionLog log;
   private final StallProbeScheduler probeScheduler = new StallProbeScheduler();
   private final LostAnswerDetector lostResponses = new LostAnswerDetector();
 
-  FaultDetector(RoutingState routing, EngineProbe probe, DecisionLog log) {
+  FaultDetector(
+      RoutingState routing, EngineProbe probe, ListenerCheck listenerCheck, DecisionLog log) {
     this.routing = routing;
     this.probe = probe;
+    this.listenerCheck = listenerCheck;
     this.log = log;
   }
 
@@ -78,9 +81,9 @@
   }
 
   /**
-   * Checks whether an engine that lost a request still reports, and marks it suspect if not.
+   * Checks whether an engine that lost a request has ended, and marks it suspect if so.
    *
-   * @param onChecked receives whether it reports
+   * @param onChecked receives whether it gives no report any more
    */
   void checkEngine(TargetStatement target, Consumer<Boolean> onChecked) {
     probe.awaitReport(
@@ -88,7 +91,26 @@
         target.address(),
         result -> {
           onProbeResult(target.id(), result);
-          onChecked.accept(result instanceof EngineProbe.Reported);
+          onChecked.accept(result instanceof EngineProbe.Failed);
+        });
+  }
+
+  /**
+   * Checks whether a target without reports that lost a request has ended, and marks it suspect if
+   * so.
+   *
+   * @param maxAgeNanos maximum age in nanoseconds of an earlier result that is used
+   * @param onChecked receives whether it refuses connections
+   */
+  void checkListener(TargetStatement target, long maxAgeNanos, Consumer<Boolean> onChecked) {
+    listenerCheck.check(
+        target.address(),
+        maxAgeNanos,
+        ended -> {
+          if (ended && !isSuspect(target.id())) {
+            markSuspect(target.address(), "it refuses connections");
+          }
+          onChecked.accept(ended);
         });
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
@@ -11,31 +11,39 @@
 import org.clementinesail.core.desired.Service;
 import org.jspecify.annotations.Nullable;
 
-/** Keeps one request from engines that a part of it would crash, and tells what became of it. */
+/**
+ * Keeps one request from targets that it, or a part of it, would crash, and tells what became of
+ * it.
+ *
+ * <p>An engine that has begun to answer shows that the request is harmless; a target without layers
+ * shows it at the end of its answer only.
+ */
 final class PartGuard {
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final CrashReports crashes;
   private final RequestParts parts;
+  private final boolean continuedByCaller;
   private @Nullable Service service;
   private @Nullable String workspace;
-  private boolean answered;
+  private boolean harmless;
 
   PartGuard(CrashReports crashes, HttpRequest head, ByteBuf body, RequestMetadata metadata) {
     this.crashes = crashes;
     this.parts = new RequestParts(head, body, metadata.sharedParts());
-    // A stream that is continued has been answered before.
-    this.answered = metadata.lastEventId() != null;
+    this.continuedByCaller = metadata.lastEventId() != null;
   }
 
   void resolved(Service resolvedService, @Nullable String callerWorkspace) {
     service = resolvedService;
     workspace = callerWorkspace;
+    // A stream that is continued has been answered before.
+    harmless = continuedByCaller && runsOnEngines();
   }
 
   /** Returns how many seconds the request is refused, or empty if it may be sent. */
   OptionalDouble refusedSeconds(long now) {
-    if (answered || crashes.isEmpty()) {
+    if (harmless || crashes.isEmpty()) {
       return OptionalDouble.empty();
     }
     OptionalLong until = crashes.refusedUntil(keys(), now);
@@ -50,23 +58,41 @@
     }
   }
 
-  /** Called when an engine has begun to answer; a failure may come from before it ran. */
+  /** Called when the first part of an answer is sent to the caller. */
+  void onAnswerBegun(HttpResponseStatus status) {
+    if (runsOnEngines()) {
+      onAnswered(status);
+    }
+  }
+
+  /** Called when a target has answered; a failure may come from before it ran. */
   void onAnswered(HttpResponseStatus status) {
-    if (!answered && status.codeClass() == HttpStatusClass.SUCCESS) {
-      answered = true;
+    if (!harmless && status.codeClass() == HttpStatusClass.SUCCESS) {
+      harmless = true;
       crashes.recordAnswer(crashes.isEmpty() ? sharedKeys() : keys());
     }
   }
 
-  /** Continues after a lost attempt, once it is known whether its engine crashed. */
+  /** Continues after a lost attempt, once it is known whether its target crashed. */
   void afterLoss(Attempt attempt, Runnable next) {
-    if (answered || !runsOnEngines()) {
+    if (harmless || service == null) {
       next.run();
     } else {
-      crashes.checkAfterLoss(attempt.target(), keys(), attempt.sentAt(), next);
+      crashes.checkAfterLoss(loss(attempt), next);
     }
   }
 
+  /** Called when the time for an answer is over. */
+  void afterTimeout(Attempt attempt) {
+    if (!harmless && service != null && !runsOnEngines()) {
+      crashes.checkAfterTimeout(loss(attempt));
+    }
+  }
+
+  private CrashReports.Loss loss(Attempt attempt) {
+    return new CrashReports.Loss(attempt.target(), runsOnEngines(), keys(), attempt.sentAt());
+  }
+
   private boolean runsOnEngines() {
     return service != null && service.engine() != null;
   }
@@ -76,8 +102,6 @@
   }
 
   private List<Long> keys() {
-    return service != null && runsOnEngines()
-        ? parts.allKeys(service.name(), workspace)
-        : List.of();
+    return service != null ? parts.allKeys(service.name(), workspace) : List.of();
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -73,7 +73,7 @@
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
-    FaultDetector faults = new FaultDetector(routing, probe, log);
+    FaultDetector faults = new FaultDetector(routing, probe, new ListenerCheck(loop), log);
     this.context =
         new ProxyContext(
             loop,
@@ -87,7 +87,7 @@
             log);
   }
 
-  /** Returns what is known of parts of requests that crash engines. */
+  /** Returns what is known of requests, and parts of them, that crash targets. */
   public CrashReports crashReports() {
     return context.crashes();
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -70,7 +70,7 @@
     }
     caller.begin(head.status(), HeaderCopies.ofResponse(head.headers()));
     progress.recordHead(head.headers().get(HttpHeaderNames.CONTENT_TYPE));
-    partGuard.onAnswered(head.status());
+    partGuard.onAnswerBegun(head.status());
     Route route = from.route();
     context
         .metrics()
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -38,7 +38,9 @@
     DecisionLog log = new DecisionLog("test", out);
     ShortHeaderDialect dialect = dialect();
     TargetPool pool = new TargetPool(loop, dialect, log);
-    FaultDetector faults = new FaultDetector(routing, new EngineProbe(loop, pool, dialect), log);
+    FaultDetector faults =
+        new FaultDetector(
+            routing, new EngineProbe(loop, pool, dialect), new ListenerCheck(loop), log);
     ProxyContext context =
         new ProxyContext(
             loop,
--- a/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
@@ -45,7 +45,12 @@
     routing = new RoutingState(settings, new Random(1));
     DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
     TargetPool pool = new TargetPool(loop, new ShortHeaderDialect(), log);
-    faults = new FaultDetector(routing, new EngineProbe(loop, pool, new IdleEngineDialect()), log);
+    faults =
+        new FaultDetector(
+            routing,
+            new EngineProbe(loop, pool, new IdleEngineDialect()),
+            new ListenerCheck(loop),
+            log);
     first = new ScriptedTarget();
     second = new ScriptedTarget();
     first.script = request -> IdleEngineDialect.REPORT_RESPONSE;
--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -67,6 +67,10 @@
     try {
       while (true) {
         Socket socket = listening.accept();
+        if (listening.isClosed()) {
+          // Accepted while the port was being closed.
+          socket.close();
+        }
         open.add(socket);
         daemon(() -> serve(socket));
       }
@@ -125,6 +129,11 @@
     }
   }
 
+  /** Accepts no further connections; the open ones stay open. */
+  void stopListening() throws IOException {
+    listening.close();
+  }
+
   /** Returns how many connections were accepted. */
   int connections() {
     return open.size();
