Check a silent target also when the caller has left before the deadline

The check after a deadline is made at the caller's leaving too, at most once a second for each target. DeadlyRequestTest.requestOfCallersThatLeaveIsRefused failed before ("expected [503] but found [504]").

--- a/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
@@ -124,10 +124,10 @@
   }
 
   /**
-   * Records a crash if a target without reports, which has not answered a request in time, has
-   * ended. Many requests may be late at once, so results of the last second are used again.
+   * Records a crash if a target without reports, which has not answered a request before its end,
+   * has ended. Many requests may be late at once, so results of the last second are used again.
    */
-  void checkAfterTimeout(Loss loss) {
+  void checkAfterSilence(Loss loss) {
     long lostAt = System.nanoTime();
     faults.checkListener(
         loss.target(), MAX_RESULT_AGE_NANOS, ended -> recordIfEnded(loss, lostAt, ended));
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -262,6 +262,9 @@
   }
 
   void onCallerDisconnected() {
+    if (attempt != null) {
+      partGuard.afterSilence(attempt);
+    }
     if (finish("caller left")) {
       log.callerDisconnected();
     }
@@ -270,7 +273,7 @@
   /** Ends the request without a target's response: 503 if it has certainly not run, else 504. */
   void end(String reason) {
     if (attempt != null) {
-      partGuard.afterTimeout(attempt);
+      partGuard.afterSilence(attempt);
     }
     if (counts.certainlyNotRun() && attempt == null) {
       refuse(reason, RetryAfter.SECONDS);
--- a/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
@@ -82,10 +82,10 @@
     }
   }
 
-  /** Called when the time for an answer is over. */
-  void afterTimeout(Attempt attempt) {
+  /** Called when the wait for an answer is over, before the request ends. */
+  void afterSilence(Attempt attempt) {
     if (!harmless && service != null && !runsOnEngines()) {
-      crashes.checkAfterTimeout(loss(attempt));
+      crashes.checkAfterSilence(loss(attempt));
     }
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/DeadlyRequestTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/DeadlyRequestTest.java
@@ -6,6 +6,9 @@
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -143,13 +146,30 @@
     assertEquals(status("/lookup/x", "sound"), 200);
   }
 
+  /** A target that ended silently is blamed on a request whose caller did not wait for it. */
+  @Test
+  public void requestOfCallersThatLeaveIsRefused() throws Exception {
+    replaceTargets(ScriptedTarget.HANG);
+    for (int i = 1; i <= 3; i++) {
+      try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        String head = "POST /once/x HTTP/1.1\r\nHost: shop\r\nId: n" + i + "\r\n";
+        String request = head + "Content-Length: 6\r\n\r\n" + DEADLY;
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        await(deadlyRequests, i);
+      }
+      // The target is checked after the connection has closed.
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertEquals(status("/once/x", DEADLY), 503);
+  }
+
   /** VMs that another VM has told of the targets that ended refuse the request as well. */
   @Test
   public void requestThatAnotherVmReportsIsRefused() throws Exception {
     for (int i = 0; i < 3; i++) {
       call("POST", "/safe/x", "", DEADLY);
     }
-    awaitReports();
+    await(reported, 3);
     List<CrashRecord> records = List.copyOf(reported);
     replaceTargets(ScriptedTarget.CLOSE);
     loop.submit(() -> proxy.crashReports().receive(records)).sync();
@@ -157,9 +177,9 @@
     assertEquals(deadlyRequests.size(), 0);
   }
 
-  private void awaitReports() throws Exception {
+  private static void await(List<?> seen, int count) throws Exception {
     long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
-    while (reported.size() < 3 && System.nanoTime() - deadline < 0) {
+    while (seen.size() < count && System.nanoTime() - deadline < 0) {
       TimeUnit.MILLISECONDS.sleep(5);
     }
   }
