Limit the memory that incomplete bodies, events and responses take together

Cause: each message has a limit, all together had none.

BufferLimit counts what lies beyond the first 16 KiB of each buffer, up to a fifth of the heap. Beyond it a body is refused with 503, an event is a lost response and a response is passed on unbuffered; small messages always pass. The connection of a refused body is closed for sending first, so that its caller reads the status, and a body that stalls for the idle timeout gets 408.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -61,6 +61,7 @@
   private final boolean continued;
   private @Nullable HttpResponse head;
   private @Nullable ByteBuf buffer;
+  private final BufferLimit.Reservation reservation;
   private @Nullable TargetCall call;
   private List<LocalLoad.Assignment> assignments = List.of();
   private Mode mode = Mode.AWAITING_HEAD;
@@ -83,6 +84,7 @@
     this.path = destination.path();
     this.route = route;
     this.model = model;
+    this.reservation = context.buffers().reservation();
     this.runStart = exchange.sender().progress().lastEventId();
     this.continued = exchange.sender().progress().started();
   }
@@ -148,6 +150,7 @@
   private void finish() {
     finished = true;
     assignments.forEach(a -> context.routing().ownLoad().release(a));
+    reservation.release();
     if (buffer != null) {
       buffer.release();
       buffer = null;
@@ -215,7 +218,10 @@
       }
     } else if (mode == Mode.BUFFERED && buffered != null) {
       buffered.writeBytes(content);
-      if (buffered.readableBytes() > MAX_BUFFERED_BYTES && response != null) {
+      int size = buffered.readableBytes();
+      boolean full = size > MAX_BUFFERED_BYTES || !reservation.resize(size);
+      if (full && response != null) {
+        reservation.release();
         mode = Mode.PASSED_ON;
         exchange.onProgress(this);
         exchange.sender().sendBytes(this, response, buffered);
@@ -238,8 +244,11 @@
       return;
     }
     exchange.sender().flush(this);
-    if (splitter.rest().readableBytes() > MAX_EVENT_BYTES) {
+    int pending = splitter.rest().readableBytes();
+    if (pending > MAX_EVENT_BYTES) {
       reportLostResponse(false, "event without end");
+    } else if (!reservation.resize(pending)) {
+      reportLostResponse(false, "no memory for a long event is left");
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -46,8 +46,7 @@
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
   private @Nullable Channel channel;
   private @Nullable HttpRequest head;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
-  private boolean bodyRefused;
+  private RequestBody body;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
   private boolean responseBegun;
@@ -55,16 +54,16 @@
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
   private int unsentWrites;
-  private long idleSince = System.nanoTime();
-  private long idleUntil;
+  private final IdleTime idleTime;
 
   /** A request that has been read completely; receivedAt is in nanoseconds. */
-  private record ReceivedRequest(HttpRequest head, ByteBuf body, long receivedAt) {}
+  private record ReceivedRequest(HttpRequest head, RequestBody body, long receivedAt) {}
 
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
-    this.idleUntil = idleSince + idleLimitNanos();
+    this.body = new RequestBody(context.buffers());
+    this.idleTime = new IdleTime(() -> limits().idleTimeoutMillis());
   }
 
   @Override
@@ -96,8 +95,6 @@
 
   private void begin(ChannelHandlerContext handlerContext, HttpRequest request) {
     head = request;
-    body = Unpooled.buffer(0);
-    bodyRefused = false;
     if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -106,27 +103,37 @@
 
   private void appendBody(HttpContent content) {
     HttpRequest request = head;
-    if (request == null || bodyRefused) {
+    if (request == null) {
       return;
     }
-    if (body.readableBytes() + content.content().readableBytes() > limits().maxBodyBytes()) {
-      bodyRefused = true;
-      refuseAndClose(Refusal.ofTooLargeBody());
-      return;
-    }
-    body.writeBytes(content.content());
-    if (content instanceof LastHttpContent) {
-      head = null;
-      waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
-      body = Unpooled.EMPTY_BUFFER;
-      if (waiting.size() > MAX_PIPELINED_REQUESTS) {
-        close();
-      } else {
-        startNextRequest();
+    idleTime.begin();
+    switch (body.add(content.content(), limits().maxBodyBytes())) {
+      case TOO_LONG -> refuseBody(Refusal.ofTooLargeBody());
+      case NO_MEMORY -> refuseBody(Refusal.ofBodyWithoutMemory());
+      case ADDED -> {
+        if (content instanceof LastHttpContent) {
+          addRequest(request);
+        }
       }
     }
   }
 
+  private void refuseBody(Refusal reason) {
+    body.release();
+    refuseAndClose(reason);
+  }
+
+  private void addRequest(HttpRequest request) {
+    head = null;
+    waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
+    body = new RequestBody(context.buffers());
+    if (waiting.size() > MAX_PIPELINED_REQUESTS) {
+      close();
+    } else {
+      startNextRequest();
+    }
+  }
+
   private void startNextRequest() {
     if (exchange != null || lastResponseSent) {
       return;
@@ -172,7 +179,7 @@
     }
     context.log().write("unreadable", "status", due.status().code(), "reason", due.reason());
     closeAfterResponse = true;
-    sendResponse(due.status(), HeaderCopies.empty(), Unpooled.EMPTY_BUFFER);
+    sendResponse(due.status(), due.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
   private RequestLimits limits() {
@@ -200,7 +207,7 @@
     boolean close = setConnectionClose(response);
     ChannelFuture written = write(open, response);
     if (close) {
-      written.addListener(ChannelFutureListener.CLOSE);
+      written.addListener(refusal == null ? ChannelFutureListener.CLOSE : new LingeringClose());
     }
     open.flush();
     exchangeFinished();
@@ -274,7 +281,7 @@
   private void onWritten(Future<? super Void> written) {
     unsentWrites--;
     if (exchange == null) {
-      beginIdleTime();
+      idleTime.begin();
     }
     if (!written.isSuccess() && !(written.cause() instanceof ClosedChannelException)) {
       breakOff("write failed: " + written.cause());
@@ -313,7 +320,7 @@
     Exchange ended = exchange;
     exchange = null;
     responseBegun = false;
-    beginIdleTime();
+    idleTime.begin();
     if (ended != null) {
       server.exchangeEnded(ended);
     }
@@ -322,17 +329,12 @@
     }
   }
 
-  private void beginIdleTime() {
-    idleSince = System.nanoTime();
-    idleUntil = idleSince + idleLimitNanos();
-  }
-
   /**
    * Closes the connection if it has had no request for at least the given time and none has
    * arrived; what has arrived while the event loop was busy is read first.
    */
   void closeIfIdle(long now, long maxIdleNanos) {
-    long since = idleSince;
+    long since = idleTime.since();
     if (isIdle() && now - since >= maxIdleNanos) {
       Runnable check = () -> closeIfIdleSince(since);
       context.loop().schedule(check, READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
@@ -340,7 +342,7 @@
   }
 
   private void closeIfIdleSince(long since) {
-    if (isIdle() && idleSince == since) {
+    if (isIdle() && idleTime.since() == since) {
       close();
     }
   }
@@ -349,17 +351,15 @@
     return exchange == null && head == null && waiting.isEmpty() && unsentWrites == 0;
   }
 
-  /** Closes the connection after the idle timeout that its caller knew when it became idle. */
+  /** Ends a connection after the idle timeout that its caller knew when it became idle. */
   void closeIfExpired(long now) {
-    if (now - idleUntil >= 0) {
-      closeIfIdle(now, idleLimitNanos());
+    if (idleTime.isOver(now) && head != null && refusal == null) {
+      refuseBody(Refusal.ofStalledBody());
+    } else if (idleTime.isOver(now)) {
+      closeIfIdle(now, idleTime.limitNanos());
     }
   }
 
-  private long idleLimitNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(limits().idleTimeoutMillis());
-  }
-
   void close() {
     lastResponseSent = true;
     if (channel != null) {
@@ -378,6 +378,7 @@
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.connectionClosed(this);
     lastResponseSent = true;
+    body.release();
     waiting.forEach(received -> received.body().release());
     waiting.clear();
     Exchange open = exchange;
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -28,7 +28,7 @@
   private final ProxyContext context;
   private final CallerConnection caller;
   private final HttpRequest head;
-  private final ByteBuf body;
+  private final RequestBody body;
   private final long receivedAt;
   private final RequestMetadata metadata;
   private final ExchangeLog log;
@@ -54,7 +54,7 @@
       ProxyContext context,
       CallerConnection caller,
       HttpRequest head,
-      ByteBuf body,
+      RequestBody body,
       long receivedAt) {
     this.context = context;
     this.caller = caller;
@@ -63,7 +63,7 @@
     this.receivedAt = receivedAt;
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
-    this.partGuard = new PartGuard(context.crashes(), head, body, metadata);
+    this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
   }
@@ -139,7 +139,7 @@
   private void send(
       RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
     ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
-    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body, info);
+    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body.bytes(), info);
     counts.recordSent();
     partGuard.onSent();
     Attempt next = new Attempt(this, context, choice, route, model);
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -82,6 +82,7 @@
             pool,
             faults,
             new CrashReports(loop, faults, routing, log),
+            new BufferLimit(),
             startupWait,
             metrics,
             log);
--- a/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -23,6 +24,23 @@
     return new Refusal(status, String.valueOf(cause.getMessage()));
   }
 
+  /** Returns the refusal of a body for which this VM has no memory left. */
+  static Refusal ofBodyWithoutMemory() {
+    return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body is left");
+  }
+
+  /** Returns the headers of the response. */
+  HttpHeaders headers(ProxyContext context) {
+    return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        ? RetryAfter.headers(context, RetryAfter.SECONDS)
+        : HeaderCopies.empty();
+  }
+
+  /** Returns the refusal of a body of which nothing more comes. */
+  static Refusal ofStalledBody() {
+    return new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "the rest of the body does not come");
+  }
+
   /** Returns the refusal of a body above the limit. */
   static Refusal ofTooLargeBody() {
     return new Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
