Refuse a request that comes late in a planned stop and may not end before it

Cause: the decision to begin a request knew its deadline, not the end of the process. PlannedStop decides by both, from the moment at which the load balancer has taken the VM out; such a request gets 503, has not run, and is taken by another VM at once. Requests that wait behind another one are decided when their turn comes, also at the end.

--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -16,6 +16,7 @@
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.LagDetector;
+import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ErrorLoggingTask;
@@ -193,11 +194,15 @@
     stopping = true;
     long stopStartedAt = System.nanoTime();
     log.write("stopping");
-    loop.execute(proxy::drain);
+    long detectionMillis = Math.min(READINESS_DETECTION_MS, settings.graceMillis() / 2);
+    PlannedStop times =
+        new PlannedStop(
+            stopStartedAt + TimeUnit.MILLISECONDS.toNanos(detectionMillis),
+            stopStartedAt + TimeUnit.MILLISECONDS.toNanos(settings.graceMillis() - STOP_MARGIN_MS));
+    loop.execute(() -> proxy.drain(times));
     try {
-      TimeUnit.MILLISECONDS.sleep(READINESS_DETECTION_MS);
-      long graceMillis = settings.graceMillis() - STOP_MARGIN_MS;
-      boolean idle = awaitIdle(stopStartedAt + TimeUnit.MILLISECONDS.toNanos(graceMillis));
+      TimeUnit.MILLISECONDS.sleep(detectionMillis);
+      boolean idle = awaitIdle(times.endsAt());
       if (!idle) {
         loop.execute(
             () -> log.write("requests ended by the stop", "unfinished", proxy.endRequests()));
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -56,9 +56,6 @@
   private int unsentWrites;
   private final IdleTime idleTime;
 
-  /** A request that has been read completely; receivedAt is in nanoseconds. */
-  private record ReceivedRequest(HttpRequest head, RequestBody body, long receivedAt) {}
-
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
@@ -107,14 +104,13 @@
       return;
     }
     idleTime.begin();
-    switch (body.add(content.content(), limits().maxBodyBytes())) {
-      case TOO_LONG -> refuseBody(Refusal.ofTooLargeBody());
-      case NO_MEMORY -> refuseBody(Refusal.ofBodyWithoutMemory());
-      case ADDED -> {
-        if (content instanceof LastHttpContent) {
-          addRequest(request);
-        }
-      }
+    RequestBody.Result result = body.add(content.content(), limits().maxBodyBytes());
+    if (result == RequestBody.Result.TOO_LONG) {
+      refuseBody(Refusal.ofTooLargeBody());
+    } else if (result == RequestBody.Result.NO_MEMORY) {
+      refuseBody(Refusal.ofBodyWithoutMemory());
+    } else if (content instanceof LastHttpContent) {
+      addRequest(request);
     }
   }
 
@@ -297,6 +293,10 @@
     }
   }
 
+  boolean mayBegin(long now, long deadline) {
+    return server.mayBegin(now, deadline);
+  }
+
   boolean isWritable() {
     return channel != null && channel.isWritable();
   }
@@ -336,14 +336,13 @@
   void closeIfIdle(long now, long maxIdleNanos) {
     long since = idleTime.since();
     if (isIdle() && now - since >= maxIdleNanos) {
-      Runnable check = () -> closeIfIdleSince(since);
-      context.loop().schedule(check, READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void closeIfIdleSince(long since) {
-    if (isIdle() && idleTime.since() == since) {
-      close();
+      Runnable close =
+          () -> {
+            if (isIdle() && idleTime.since() == since) {
+              close();
+            }
+          };
+      context.loop().schedule(close, READ_BEFORE_CLOSE_MS, TimeUnit.MILLISECONDS);
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -86,14 +86,18 @@
   private void start(RequestResolver.Resolved resolved) {
     awaitingState = false;
     resolvedAt = System.nanoTime();
+    long limit = resolved.route().timeoutMillis();
+    long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
+    deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
+    if (!caller.mayBegin(resolvedAt, deadline)) {
+      refuse("the VM stops before the deadline of the request", RetryAfter.STOP_SECONDS);
+      return;
+    }
     route = resolved.route();
     service = resolved.service();
     workspace = resolved.workspace();
     partGuard.resolved(resolved.service(), resolved.workspace());
     context.routing().retryBudget(resolved.service()).recordFirstAttempt();
-    long limit = resolved.route().timeoutMillis();
-    long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
-    deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
     Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
     timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.logging.DecisionLog;
@@ -49,7 +50,7 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private @Nullable Channel serverChannel;
-  private boolean draining;
+  private @Nullable PlannedStop plannedStop;
 
   /**
    * Creates a server; {@link #listen} starts it.
@@ -137,9 +138,14 @@
         TimeUnit.MILLISECONDS);
   }
 
-  /** Sets {@code Connection: close} on all further responses and closes their connections. */
-  public void drain() {
-    draining = true;
+  /**
+   * Sets {@code Connection: close} on all further responses and closes their connections, and
+   * refuses late requests that may not end before the stop.
+   *
+   * @param stop times of the stop, in nanoseconds of the monotonic clock
+   */
+  public void drain(PlannedStop stop) {
+    plannedStop = stop;
   }
 
   /**
@@ -198,7 +204,12 @@
   }
 
   boolean draining() {
-    return draining;
+    return plannedStop != null;
+  }
+
+  /** Returns whether a request with this deadline may be sent to a target. */
+  boolean mayBegin(long now, long deadline) {
+    return plannedStop == null || plannedStop.mayBegin(now, deadline);
   }
 
   void connectionOpened(CallerConnection connection) {
--- a/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
@@ -10,6 +10,9 @@
   /** The same while a VM knows no desired state yet, because it has just started. */
   static final double STARTUP_SECONDS = 2.5;
 
+  /** The same while a VM stops: other VMs take the request at once. */
+  static final double STOP_SECONDS = 0.05;
+
   private RetryAfter() {}
 
   /** Returns headers that ask for a random time from 1 to 2 times the given one. */
--- a/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
@@ -106,7 +106,7 @@
     try (Socket socket = connect()) {
       write(socket, request("/stream/x", "") + request("/once/x", ""));
       String responses = "" + (char) socket.getInputStream().read();
-      loop.submit(proxy::drain).sync();
+      drain(5_000, 10_000);
       responses += readAll(socket);
       assertEquals(statuses(responses), List.of("200", "200"), responses);
       assertTrue(responses.contains("data: e2"), responses);
@@ -124,7 +124,7 @@
       while (first.requests.isEmpty()) {
         TimeUnit.MILLISECONDS.sleep(5);
       }
-      loop.submit(proxy::drain).sync();
+      drain(5_000, 10_000);
       assertEquals(statuses(readAll(socket)), List.of("200", "200"));
     }
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/PlannedStopTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/PlannedStopTest.java
@@ -133,4 +133,45 @@
     assertEquals(status(response), 503);
     assertTrue(response.contains("Retry-After"), response);
   }
+
+  /** A request that comes late is sent to a target only if its deadline is before the end. */
+  @Test
+  public void lateRequestThatMayBeCutOffIsRefused() throws Exception {
+    startTargets(OK_RESPONSE);
+    drain(0, 600);
+    String refused = call("POST", "/once/x", "", "pay");
+    assertEquals(status(refused), 503);
+    assertTrue(refused.contains("Retry-After"), refused);
+    assertEquals(first.requests.size(), 0);
+    assertEquals(status(call("POST", "/once/x", "Timeout-Ms: 300\r\n", "pay")), 200);
+  }
+
+  /** Requests that come before callers can have heard of the stop are served. */
+  @Test
+  public void earlyRequestIsServedWhateverItsDeadline() throws Exception {
+    startTargets(OK_RESPONSE);
+    drain(5_000, 600);
+    assertEquals(status(call("POST", "/once/x", "", "pay")), 200);
+  }
+
+  /** A request that waited behind another one on its connection is not begun at the end. */
+  @Test
+  public void pipelinedRequestIsNotBegunAtTheEnd() throws Exception {
+    startTargets(ScriptedTarget.HANG);
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      String request = "POST /once/x HTTP/1.1\r\nHost: shop\r\nContent-Length: 0\r\n";
+      String both = request + "Id: p1\r\n\r\n" + request + "Id: p2\r\n\r\n";
+      socket.getOutputStream().write(both.getBytes(StandardCharsets.US_ASCII));
+      while (first.requests.isEmpty()) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      drain(0, 0);
+      loop.submit(proxy::endRequests).sync();
+      socket.setSoTimeout(5_000);
+      String answers =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertTrue(answers.matches("(?s)HTTP/1.1 504 .*HTTP/1.1 503 .*"), answers);
+      assertEquals(first.requests.size(), 1);
+    }
+  }
 }
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -23,6 +23,7 @@
 import org.clementinesail.core.desired.Workspace;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.logging.DecisionLog;
 import org.testng.annotations.AfterMethod;
@@ -167,6 +168,16 @@
     return OK_RESPONSE.replace("Proof", id + "\r\nProof");
   }
 
+  /** Begins a planned stop, with times in milliseconds from now. */
+  void drain(long lateInMillis, long endsInMillis) throws Exception {
+    long now = System.nanoTime();
+    PlannedStop times =
+        new PlannedStop(
+            now + TimeUnit.MILLISECONDS.toNanos(lateInMillis),
+            now + TimeUnit.MILLISECONDS.toNanos(endsInMillis));
+    loop.submit(() -> proxy.drain(times)).sync();
+  }
+
   String call(String method, String path, String headers, String body) throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
       String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
