Need no retry for an attempt after one that could not be sent

Cause: the budget counted attempts, also those of which nothing reached a target. Now the first attempt that may arrive is free, and a retry that could not be sent is given back.

--- a/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
+++ b/core/src/main/java/org/clementinesail/core/limits/RetryBudget.java
@@ -45,6 +45,11 @@
     return availableRetries >= 1;
   }
 
+  /** Gives back a retry that reached no target. */
+  public void returnRetry() {
+    availableRetries = Math.min(maxRetries, availableRetries + 1);
+  }
+
   /** Takes a retry from the budget; returns false if fewer than one is available. */
   public boolean tryAcquireRetry() {
     if (!hasRetry()) {
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
@@ -16,6 +16,7 @@
   private static final int MAX_EXTRA_ATTEMPTS = 2;
 
   private int sentTotal;
+  private int notSent;
   private int refusals;
   private int possibleRuns;
   private final Multiset<String> targets = HashMultiset.create();
@@ -27,6 +28,16 @@
     sentTotal++;
   }
 
+  /** Records that nothing of an attempt reached its target. */
+  void recordNotSent() {
+    notSent++;
+  }
+
+  /** Returns whether an attempt may have reached its target, which refused it or not. */
+  boolean mayHaveArrived() {
+    return sentTotal > notSent;
+  }
+
   /** Records that a target has not run the request and never will. */
   void recordRefusal() {
     refusals++;
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -45,6 +45,10 @@
   /** Handles a failed connection: nothing of the request reached the target. */
   void onNotSent(Attempt from, String reason) {
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
+    counts.recordNotSent();
+    if (counts.mayHaveArrived()) {
+      context.routing().retryBudget(from.target().service()).returnRetry();
+    }
     String target = from.target().id();
     if (counts.mayHaveRunOn(target)) {
       counts.recordDeadTarget(target);
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -97,7 +97,7 @@
     service = resolved.service();
     workspace = resolved.workspace();
     partGuard.resolved(resolved.service(), resolved.workspace());
-    context.routing().retryBudget(resolved.service()).recordFirstAttempt();
+    context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
     Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
     timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
@@ -133,7 +133,8 @@
 
   private void sendWithinBudget(
       RoutingState.Destination choice, Service chosen, boolean newConnection) {
-    if (counts.sentCount() == 0 || context.routing().retryBudget(chosen).tryAcquireRetry()) {
+    if (!counts.mayHaveArrived()
+        || context.routing().retryBudget(chosen.name()).tryAcquireRetry()) {
       send(choice, chosen.engine(), newConnection);
     } else {
       giveUp("the retry budget is used up");
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -209,7 +209,7 @@
   /** Takes a retry from the budget if there is one and a target; returns the target, or empty. */
   Optional<Destination> acquireRetry(
       Service service, RequestMetadata metadata, Set<String> excluded, long now) {
-    RetryBudget budget = retryBudget(service);
+    RetryBudget budget = retryBudget(service.name());
     return budget.hasRetry()
         ? chooseDestination(service, metadata, excluded, now).filter(d -> budget.tryAcquireRetry())
         : Optional.empty();
@@ -273,9 +273,9 @@
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
-  RetryBudget retryBudget(Service service) {
+  RetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(
-        service.name(),
+        service,
         key ->
             new RetryBudget(settings.retryRatio() / 2, settings.retryAllowance() / 2 / trafficVms));
   }
