--- a/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -29,9 +28,10 @@
 final class ListenerCheck {
   private static final int CONNECT_TIMEOUT_MS = 500;
 
-  /** A process that ends may accept a connection before its port is closed, and then resets it. */
+  /** A process that is ending may accept a connection and reset it as it closes its port. */
   private static final long MIN_OPEN_MS = 10;
 
+  /** A target that resets each connection lives, or is slow to end. */
   private static final int MAX_CONNECTS = 3;
 
   /** Longest time for which a result can be used again. */
@@ -92,11 +92,8 @@
 
     void connect() {
       connects++;
-      int colon = address.lastIndexOf(':');
       bootstrap
-          .connect(
-              new InetSocketAddress(
-                  address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
+          .connect(TargetPool.socketAddress(address))
           .addListener((ChannelFuture done) -> onConnected(done));
     }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -113,10 +113,6 @@
       Function<TargetConnection, TargetCall> sender) {
     connectionsOpened++;
     PendingCall pending = new PendingCall(request, listener, sender);
-    int colon = address.lastIndexOf(':');
-    InetSocketAddress remote =
-        new InetSocketAddress(
-            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     bootstrap
         .clone()
         .handler(
@@ -130,11 +126,18 @@
                     .addLast(new HttpRequestEncoder(), connection.decoder(), connection);
               }
             })
-        .connect(remote)
+        .connect(socketAddress(address))
         .addListener((ChannelFuture done) -> pending.onConnected(done));
     return pending;
   }
 
+  /** Returns the socket address of an IP address and port. */
+  static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
   /** Returns how many connections have been opened since the start, failed ones included. */
   public long connectionsOpened() {
     return connectionsOpened;
