Refuse a request behind too many pipelined ones instead of cutting off the one in progress

Callers that pipelined more than 17 requests lost the answer to the one in progress: the connection was closed at once, although a target was at work on it.

Cause: the limit on waiting requests closed the connection; all other reasons to end one answer first what has been read. The request above the limit is now refused with 503 and Retry-After after the answers to those before it, then the connection ends. What follows it is not passed on.

Evidence: ClosingConnectionTest.tooManyPipelinedRequestsDoNotCutOffTheOneInProgress got fewer than 17 answers to 30 requests before, and gets 17 and one 503 now.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -35,7 +35,7 @@
 
 /** A connection of a caller; processes its requests one at a time, in order. */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-  /** Maximum number of requests that wait for the current one; another closes the connection. */
+  /** Maximum number of requests that wait for the current one; another one is refused. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
   /** Time in which the event loop reads what has already arrived on a connection. */
@@ -121,13 +121,13 @@
 
   private void addRequest(HttpRequest request) {
     head = null;
+    if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
+      refuseBody(Refusal.ofTooManyRequests());
+      return;
+    }
     waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
     body = new RequestBody(context.buffers());
-    if (waiting.size() > MAX_PIPELINED_REQUESTS) {
-      close();
-    } else {
-      startNextRequest();
-    }
+    startNextRequest();
   }
 
   private void startNextRequest() {
--- a/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
@@ -29,6 +29,11 @@
     return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body is left");
   }
 
+  /** Returns the refusal of a request behind too many others on its connection. */
+  static Refusal ofTooManyRequests() {
+    return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait");
+  }
+
   /** Returns the headers of the response. */
   HttpHeaders headers(ProxyContext context) {
     return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
--- a/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ClosingConnectionTest.java
@@ -11,6 +11,8 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -129,6 +131,21 @@
     }
   }
 
+  /** A caller that pipelines more requests than may wait still gets the answers to the others. */
+  @Test
+  public void tooManyPipelinedRequestsDoNotCutOffTheOneInProgress() throws Exception {
+    startTargets(OK_RESPONSE);
+    first.script = r -> (first.requests.size() > 1 ? "" : ScriptedTarget.SILENCE) + OK_RESPONSE;
+    applyVersion(2, RequestLimits.DEFAULT.idleTimeoutMillis());
+    try (Socket socket = connect()) {
+      write(socket, request("/once/x", "").repeat(30));
+      List<String> expected = new ArrayList<>(Collections.nCopies(17, "200"));
+      expected.add("503");
+      assertEquals(statuses(readAll(socket)), expected);
+    }
+    assertEquals(first.requests.size(), 17);
+  }
+
   /** A refusal that waits behind a stream that breaks off is dropped and keeps no thread busy. */
   @Test
   public void refusalBehindABrokenStreamEndsWithIt() throws Exception {
