Read an idle connection to a target before it is reused

Callers saw: 502 for a request that may not be repeated, and one of the attempts of one that may, when a target had sent additional bytes on a kept connection, or had closed it, and the event loop had not read that yet when the next request was written.

Cause: only the event loop's turn read the socket. What had arrived since then was found after the request was on its way, which then may have run.

The pool reads the socket, without waiting, once a connection is chosen, and takes another one if that brought a byte or the end. It costs one read call for each reuse; the cost has not been measured.

--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -13,23 +14,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.LinkedHashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.clementinesail.server.proxy.ResponseListener.FailureKind;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a target: one request at a time; reused only after a complete response. */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
-  /** Idle time for reuse if the target gives none; shorter than common server idle timeouts. */
-  private static final long DEFAULT_KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-  /** Connections are not reused within this time before the idle timeout of the target. */
-  private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
   /** Most responses that are skipped before that to the request in progress. */
   private static final int MAX_SKIPPED_RESPONSES = 8;
 
@@ -42,8 +34,6 @@
   /** Number of the latest request ids that a connection does not carry again. */
   private static final int MAX_SENT_IDS = 256;
 
-  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
-
   private final TargetPool pool;
   private final String address;
   private final Dialect dialect;
@@ -57,7 +47,7 @@
   private boolean closing;
   private boolean keepAlive;
   private boolean failed;
-  private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
+  private long maxIdleNanos;
   private long idleSince;
   private int completedResponses;
 
@@ -120,9 +110,18 @@
   }
 
   boolean isUsable(long now) {
-    return channel != null
-        && channel.isActive()
-        && now - idleSince < keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
+    return channel != null && channel.isActive() && now - idleSince < maxIdleNanos;
+  }
+
+  /**
+   * Reads from the socket of an idle connection, and returns whether the connection is still usable
+   * afterwards: any byte, and the end of the connection, close it.
+   */
+  boolean readIsEmpty() {
+    if (channel instanceof AbstractNioChannel open) {
+      open.unsafe().read();
+    }
+    return !closing && channel != null && channel.isActive();
   }
 
   boolean carriesEngineCalls() {
@@ -264,7 +263,7 @@
       call.headReceived = true;
       call.identified = dialect.requestId(head).isPresent();
       keepAlive = HttpUtil.isKeepAlive(head);
-      keepAliveNanos = keepAliveNanos(head);
+      maxIdleNanos = KeepAlive.maxIdleNanos(head);
       callListener(call, () -> call.listener.onHead(head));
     }
   }
@@ -340,17 +339,6 @@
     }
   }
 
-  private static long keepAliveNanos(HttpResponse head) {
-    String value = head.headers().get("Keep-Alive");
-    if (value == null) {
-      return DEFAULT_KEEP_ALIVE_NANOS;
-    }
-    Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value.toLowerCase(Locale.ROOT));
-    return matcher.find()
-        ? TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1)))
-        : DEFAULT_KEEP_ALIVE_NANOS;
-  }
-
   /** Logs bytes that belong to no request of this connection. */
   private void logForeignBytes(String reason, int undecodedBytes) {
     ActiveCall call = activeCall;
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -189,7 +189,9 @@
         return null;
       } else if (usable.test(connection)) {
         iterator.remove();
-        return connection;
+        if (connection.readIsEmpty()) {
+          return connection;
+        }
       }
     }
     return null;
