Lose an answer whose truncated body another answer has filled

Callers saw: a 200 whose body ended with the first bytes of another answer, when a target truncated an answer of fixed length, kept the connection open and sent another one.

Cause: the length was the only proof that a body is whole. Bytes left after it were taken for additional ones, though they were the rest of the other answer.

When bytes follow a body in one read, OverlapCheck looks for a valid head that begins in the body and goes on after it, or that bears the id of a request of the same connection and declares more than the body has left. Sound answers are not scanned, as nothing follows them.

--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpConstants;
@@ -24,6 +25,7 @@
   private final IntPredicate acceptsBytes;
   private final Predicate<HttpResponse> hasNoBody;
   private HeadValidator validator;
+  private ByteBuf latestRead = Unpooled.EMPTY_BUFFER;
   private boolean awaitingHead = true;
   private int checkedBytes;
   private int lineStart;
@@ -55,7 +57,31 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    super.channelRead(context, message);
+    if (message instanceof ByteBuf bytes) {
+      latestRead = bytes.retainedDuplicate();
+    }
+    try {
+      super.channelRead(context, message);
+    } finally {
+      latestRead.release();
+      latestRead = Unpooled.EMPTY_BUFFER;
+    }
+  }
+
+  /**
+   * Returns whether another response begins in the body that has just ended, and goes on after it.
+   *
+   * @param bodyBytes length of the body
+   * @param sentHere returns whether a response has the id of a request of this connection
+   */
+  boolean bodyIsOverlapped(long bodyBytes, Predicate<HttpResponse> sentHere) {
+    String bytes = latestRead.toString(StandardCharsets.ISO_8859_1);
+    int bodyEnd = bytes.length() - undecodedBytes();
+    if (bodyEnd <= 0) {
+      return false;
+    }
+    int bodyStart = (int) Math.max(0, bodyEnd - bodyBytes);
+    return new OverlapCheck(bytes, bodyEnd, singularHeaders, sentHere).findsOverlap(bodyStart);
   }
 
   @Override
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -72,6 +72,7 @@
     private boolean foreignResponse;
     private int skippedResponses;
     private int skippedBytes;
+    private long bodyBytes;
 
     ActiveCall(String requestId, boolean engineCall, HttpMethod method, ResponseListener listener) {
       this.requestId = requestId;
@@ -239,6 +240,7 @@
       return;
     }
     if (message instanceof HttpContent content && activeCall == call) {
+      call.bodyBytes += content.content().readableBytes();
       if (!skippingResponse && call.headReceived && content.content().isReadable()) {
         callListener(call, () -> call.listener.onContent(content.content()));
       }
@@ -261,6 +263,7 @@
       skipForeignResponse(head, call);
     } else {
       call.headReceived = true;
+      call.bodyBytes = 0;
       call.identified = dialect.requestId(head).isPresent();
       keepAlive = HttpUtil.isKeepAlive(head);
       maxIdleNanos = KeepAlive.maxIdleNanos(head);
@@ -295,13 +298,17 @@
       fail("connection failed during the response");
       return;
     }
-    activeCall = null;
-    completedResponses++;
-    idleSince = System.nanoTime();
     int undecoded = decoder.undecodedBytes();
     if (undecoded > 0) {
       logForeignBytes("bytes after the end of a response", undecoded);
+      if (decoder.bodyIsOverlapped(call.bodyBytes, this::isOfSentRequest)) {
+        fail("another response begins in the body");
+        return;
+      }
     }
+    activeCall = null;
+    completedResponses++;
+    idleSince = System.nanoTime();
     Channel open = channel;
     if (undecoded == 0 && mayKeep(call) && open != null && open.isActive()) {
       open.config().setAutoRead(true);
@@ -312,6 +319,10 @@
     callListener(call, call.listener::onComplete);
   }
 
+  private boolean isOfSentRequest(HttpResponse response) {
+    return dialect.requestId(response).filter(sentIds::contains).isPresent();
+  }
+
   private boolean mayKeep(ActiveCall call) {
     boolean verified = call.engineCall || (call.identified && !call.requestId.isEmpty());
     return keepAlive && call.requestWritten && verified && !call.foreignResponse;
