Lose an event that the head of another answer has completed

Callers saw: a stream whose event had the head of another answer as its end, under the number of the event that the target had truncated, so that nobody sent the right one again.

Cause: events are passed on as soon as an empty line ends them, before the framing shows that other bytes filled the chunk or the length.

Evidence: FilledEventTest.eventCompletedByAnotherResponseIsNotPassedOn: all 3 framings passed the event on before; after, the stream goes on at another target after its last whole event.

An event that ends with a whole valid head with a request id is lost. Lines of text in an event begin with the name of their field, so text about answers is passed on (3 cases). Only events that end with CR LF CR LF are looked at.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -276,6 +276,10 @@
     if (response == null || finished) {
       return;
     }
+    if (EventCheck.endsWithHead(context.dialect(), event.bytes())) {
+      reportLostResponse(false, "an event ends with the head of another response");
+      return;
+    }
     if (event.comment()) {
       exchange.onProgress(this);
       exchange.sender().sendComment(this, response, event.bytes());
