Answer the calls of a connection in their order

Callers of control VMs saw, if they sent a call before the answer to the one before it: the answers in another order, so that a version seemed confirmed by the answer to another call; and calls carried out that followed one with Connection: close.

Cause: HttpEndpoint handled each call as it was decoded and wrote each answer when it was ready.

EndpointConnection handles one call at a time; a call with too long a body takes its turn as well.

--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -4,27 +4,20 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.clementinesail.server.logging.DecisionLog;
 
@@ -84,8 +77,8 @@
               @Override
               protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new HttpServerCodec());
-                channel.pipeline().addLast(new HttpObjectAggregator(maxBodyBytes));
-                channel.pipeline().addLast(new CallHandler(loop, log, handler));
+                channel.pipeline().addLast(new CallAggregator(maxBodyBytes));
+                channel.pipeline().addLast(new EndpointConnection(loop, log, handler));
               }
             })
         .bind(address)
@@ -123,71 +116,4 @@
   static String loggable(String text) {
     return Ascii.truncate(text, MAX_LOGGED_CHARS, "...");
   }
-
-  private static final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-    private final EventLoop loop;
-    private final DecisionLog log;
-    private final Handler handler;
-
-    CallHandler(EventLoop loop, DecisionLog log, Handler handler) {
-      super(FullHttpRequest.class);
-      this.loop = loop;
-      this.log = log;
-      this.handler = handler;
-    }
-
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      if (request.decoderResult().isFailure()) {
-        logFailure("request not parsed", request.uri(), request.decoderResult().cause());
-        // The decoder has lost its place: what follows on the connection cannot be parsed.
-        reply(context, false, status(HttpResponseStatus.BAD_REQUEST));
-        return;
-      }
-      boolean keepAlive = HttpUtil.isKeepAlive(request);
-      AtomicBoolean answered = new AtomicBoolean();
-      try {
-        handler.handle(
-            request,
-            response -> {
-              answered.set(true);
-              reply(context, keepAlive, response);
-            });
-      } catch (RuntimeException | StackOverflowError e) {
-        logFailure("request failed", request.uri(), e);
-        if (!answered.get()) {
-          reply(context, keepAlive, status(HttpResponseStatus.INTERNAL_SERVER_ERROR));
-        }
-      }
-    }
-
-    private void logFailure(String event, String uri, Throwable cause) {
-      log.write(event, "uri", loggable(uri), "reason", loggable(String.valueOf(cause)));
-    }
-
-    private static FullHttpResponse status(HttpResponseStatus status) {
-      return text(status.code(), "text/plain", "");
-    }
-
-    private void reply(
-        ChannelHandlerContext context, boolean keepAlive, FullHttpResponse response) {
-      if (!loop.inEventLoop()) {
-        loop.execute(() -> reply(context, keepAlive, response));
-        return;
-      }
-      HttpUtil.setContentLength(response, response.content().readableBytes());
-      if (!keepAlive) {
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      }
-      var written = context.writeAndFlush(response);
-      if (!keepAlive) {
-        written.addListener(ChannelFutureListener.CLOSE);
-      }
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      context.close();
-    }
-  }
 }
