Refuse request heads that a target could read in another way

Callers saw nothing. A target that takes a bare CR for a line end, or ignores a space in a name, would have found a length in a forwarded head that this proxy had not seen, and run what was hidden behind it.

Cause: the decoder's check of names and values is switched off, and no other one was made for requests.

Evidence: RequestFramingTest.hiddenRequestIsNotRun: "bare CR before the length", "space in the name" and "space before the colon" failed before. The case with NUL was added with the fix.

RequestHeadCheck refuses names that are no token and control characters with 400, and the connection ends.

--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -120,6 +120,7 @@
                             .setMaxHeaderSize(head)
                             .setValidateHeaders(false);
                     channel.pipeline().addLast(new HttpServerCodec(config));
+                    channel.pipeline().addLast(new RequestHeadCheck());
                     channel.pipeline().addLast(new CallerConnection(context, ProxyServer.this));
                   }
                 })
