Bound by bytes what a replica keeps and sends of its log

Operators saw (played with real processes, three control VMs, a version of 4.3 MB after the other, 1.8 MB compressed): after version 75 the replica threads of two control VMs ended with OutOfMemoryError, and versions 76 to 78 were not accepted in 30 s each, while all processes ran. Both are now limited to 4 MiB of commands beside the number of entries, but to no less than one entry in a frame.

--- a/core/src/main/java/org/clementinesail/core/replication/LogEntry.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogEntry.java
@@ -9,6 +9,11 @@
  */
 public record LogEntry(long index, long term, Payload payload) {
 
+  /** Returns the size of the command in bytes; 0 for an entry of another type, which is small. */
+  long payloadBytes() {
+    return payload instanceof Command command ? command.bytes().length : 0;
+  }
+
   /** Content of an entry. */
   public sealed interface Payload {}
 
--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -7,6 +7,8 @@
 /** Replicates the log: a leader sends entries and counts replies, a follower stores entries. */
 final class LogReplication {
   private static final int MAX_ENTRIES_PER_APPEND = 256;
+  // One of the largest documents; the network accepts 64 MiB, a VM has little more memory.
+  private static final long MAX_BYTES_PER_APPEND = 4L * 1_024 * 1_024;
 
   private final ReplicaContext context;
   private long nextHeartbeatAt;
@@ -69,7 +71,8 @@
       context.send(to, context.term, new ReplicaMessage.InstallSnapshot(log.snapshot(), round));
       return;
     }
-    List<LogEntry> entries = log.entriesFrom(progress.nextIndex, MAX_ENTRIES_PER_APPEND);
+    List<LogEntry> entries =
+        log.entriesFrom(progress.nextIndex, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND);
     long prev = progress.nextIndex - 1;
     context.send(
         to,
@@ -173,6 +176,9 @@
       progress.matchIndex =
           Math.max(progress.matchIndex, Math.min(reply.match(), context.log.lastIndex()));
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+      if (progress.nextIndex <= context.log.lastIndex()) {
+        leaderState.broadcastDue(true); // entries that did not fit into the message
+      }
       advanceCommit();
     } else {
       long retryAfter = Math.min(reply.match(), progress.nextIndex - 2);
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -24,6 +24,8 @@
 public final class ReplicaCore {
   // Followers up to this many entries behind the snapshot get entries instead of the snapshot.
   private static final int ENTRIES_KEPT_BEFORE_SNAPSHOT = 256;
+  // Sum of their commands: of large ones fewer are kept, as the snapshot is no larger then.
+  private static final long BYTES_KEPT_BEFORE_SNAPSHOT = 4L * 1_024 * 1_024;
   private static final int HELLO_INTERVAL_HEARTBEATS = 3;
   // Maximum election timeouts without contact until Hellos are sent.
   private static final int SILENT_TIMEOUTS = 2;
@@ -116,7 +118,7 @@
 
   /** Returns the entries after the snapshot, committed or not. */
   public List<LogEntry> entriesAfterSnapshot() {
-    return context.log.entriesFrom(context.log.snapshot().index() + 1, Integer.MAX_VALUE);
+    return context.log.entriesFrom(context.log.snapshot().index() + 1);
   }
 
   /**
@@ -220,7 +222,7 @@
   }
 
   /**
-   * Drops the entries that a snapshot covers, except for the last 256.
+   * Drops the entries that a snapshot covers, except for the last 256 or 4 MiB of commands.
    *
    * @param index index of the last entry applied to the state; must still be in the log
    * @param state encoded state after that entry; not copied, must not be changed
@@ -229,7 +231,7 @@
   public Snapshot compact(long index, byte[] state) {
     ReplicaLog log = context.log;
     Snapshot snapshot = new Snapshot(index, log.termAt(index), log.configAt(index), state);
-    log.compact(snapshot, ENTRIES_KEPT_BEFORE_SNAPSHOT);
+    log.compact(snapshot, ENTRIES_KEPT_BEFORE_SNAPSHOT, BYTES_KEPT_BEFORE_SNAPSHOT);
     return snapshot;
   }
 
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaLog.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaLog.java
@@ -52,13 +52,28 @@
     return index >= firstIndex;
   }
 
-  List<LogEntry> entriesFrom(long index, int maxEntries) {
+  /** Returns the entries from an index on. */
+  List<LogEntry> entriesFrom(long index) {
+    int start = (int) (index - firstIndex);
+    return start >= entries.size()
+        ? List.of()
+        : List.copyOf(entries.subList(start, entries.size()));
+  }
+
+  /** Returns the entries from an index on up to both limits, but at least one if there is one. */
+  List<LogEntry> entriesFrom(long index, int maxEntries, long maxBytes) {
     int start = (int) (index - firstIndex);
     if (start >= entries.size()) {
       return List.of();
     }
-    return List.copyOf(
-        entries.subList(start, start + Math.min(entries.size() - start, maxEntries)));
+    int end = start + 1;
+    int limit = start + Math.min(entries.size() - start, maxEntries);
+    long bytes = entries.get(start).payloadBytes();
+    while (end < limit && bytes + entries.get(end).payloadBytes() <= maxBytes) {
+      bytes += entries.get(end).payloadBytes();
+      end++;
+    }
+    return List.copyOf(entries.subList(start, end));
   }
 
   void append(LogEntry entry) {
@@ -79,10 +94,19 @@
     termBeforeFirstIndex = next.term();
   }
 
-  /** Sets a newer snapshot of this log and keeps some entries before it for slow followers. */
-  void compact(Snapshot next, int keptEntries) {
+  /**
+   * Sets a newer snapshot of this log and keeps the last entries before it, up to both limits, for
+   * slow followers.
+   */
+  void compact(Snapshot next, int keptEntries, long keptBytes) {
     snapshot = next;
-    long newFirst = Math.max(firstIndex, next.index() + 1 - keptEntries);
+    long newFirst = next.index() + 1;
+    long oldest = Math.max(firstIndex, newFirst - keptEntries);
+    long bytes = 0;
+    while (newFirst > oldest && bytes + entry(newFirst - 1).payloadBytes() <= keptBytes) {
+      newFirst--;
+      bytes += entry(newFirst).payloadBytes();
+    }
     termBeforeFirstIndex = termAt(newFirst - 1);
     entries.subList(0, (int) (newFirst - firstIndex)).clear();
     firstIndex = newFirst;
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
@@ -14,7 +14,12 @@
 public record ReplicaMessage(long clusterId, ReplicaId from, ReplicaId to, long term, Body body) {
 
   /** Type and content of a message. */
-  public sealed interface Body {}
+  public sealed interface Body {
+    /** Returns the size of the commands or the state in the message, in bytes; 0 without any. */
+    default long payloadBytes() {
+      return 0;
+    }
+  }
 
   /**
    * Sent by a replica without state to find a cluster or the other initial members, and by one with
@@ -82,7 +87,12 @@
    */
   public record Append(
       long prevIndex, long prevTerm, List<LogEntry> entries, long commit, long round)
-      implements Body {}
+      implements Body {
+    @Override
+    public long payloadBytes() {
+      return entries.stream().mapToLong(LogEntry::payloadBytes).sum();
+    }
+  }
 
   /**
    * Answers {@link Append} and {@link InstallSnapshot} once all entries up to the match are synced.
@@ -101,7 +111,12 @@
    * @param snapshot latest snapshot of the leader
    * @param round number of the leader's heartbeat round, echoed in the reply
    */
-  public record InstallSnapshot(Snapshot snapshot, long round) implements Body {}
+  public record InstallSnapshot(Snapshot snapshot, long round) implements Body {
+    @Override
+    public long payloadBytes() {
+      return snapshot.state().length;
+    }
+  }
 
   /** Tells the receiver to start an election immediately, as a leadership transfer. */
   public record TakeOver() implements Body {}
