Release a replica's folder after every failure, and delete leftovers

Operators would have seen: a replica that never opens again ("the data folder is already open in this process") although its disk works, until the process restarts. Cause: an unchecked exception or an error while the files were opened left the folder locked.

RefusingDiskTest failed before: uncheckedExceptionDoesNotLeaveFolderLocked with that message, leftoversOfRefusedFilesAreDeleted with 6 files instead of 4. Now a failed opening always closes the folder, and temporary files are deleted as it is opened.

--- a/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
+++ b/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.security.SecureRandom;
 import java.util.List;
@@ -37,9 +36,7 @@
   static DataFolder open(Path folder, DiskOps disk) throws StorageException {
     FileChannel channel = null;
     try {
-      channel =
-          FileChannel.open(
-              folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+      channel = disk.openLock(folder.resolve(LOCK_FILE));
       FileLock fileLock = channel.tryLock();
       if (fileLock != null) {
         return new DataFolder(folder, disk, channel);
@@ -50,6 +47,7 @@
       closeQuietly(channel);
       throw new StorageException(folder, "the data folder is already open in this process", e);
     } catch (IOException e) {
+      closeQuietly(channel);
       throw new StorageException(folder, "cannot be locked: " + e.getMessage(), e);
     }
   }
@@ -93,11 +91,11 @@
   void discard() throws IOException {
     // Deletes the identity first: without it, files left by a crash here cannot be loaded as the
     // state of this replica.
-    Files.deleteIfExists(path(IDENTITY_FILE));
+    disk.delete(path(IDENTITY_FILE));
     syncFolder();
     for (Path file : files()) {
       if (!file.endsWith(LOCK_FILE)) {
-        Files.delete(file);
+        disk.delete(file);
       }
     }
     syncFolder();
@@ -117,17 +115,30 @@
     try (FileChannel channel = create(temporary)) {
       append(channel, payload);
     }
-    Files.move(
-        temporary, path(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    disk.move(temporary, path(name));
     syncFolder();
   }
 
+  /** Deletes what refused writes have left, which takes room and is never read. */
+  void deleteTemporaryFiles() throws IOException {
+    for (Path file : files()) {
+      if (file.getFileName().toString().endsWith(TEMPORARY_SUFFIX)) {
+        delete(file);
+      }
+    }
+  }
+
   FileChannel create(Path path) throws IOException {
-    return FileChannel.open(
-        path,
-        StandardOpenOption.CREATE,
-        StandardOpenOption.TRUNCATE_EXISTING,
-        StandardOpenOption.WRITE);
+    return disk.create(path);
+  }
+
+  void delete(Path path) throws IOException {
+    disk.delete(path);
+  }
+
+  /** Cuts a file to a length in bytes; the next sync makes that durable. */
+  void truncate(FileChannel channel, long length) throws IOException {
+    disk.truncate(channel, length);
   }
 
   void append(FileChannel channel, byte[] payload) throws IOException {
--- a/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
+++ b/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
@@ -67,17 +67,21 @@
   static ReplicaStore open(Path folder, DiskOps disk) throws StorageException {
     DataFolder data = DataFolder.open(folder, disk);
     @Nullable ReplicaStore store = null;
+    boolean loaded = false;
     try {
+      data.deleteTemporaryFiles();
       boolean snapshotExists = Files.exists(data.path(SNAPSHOT_FILE));
       store = new ReplicaStore(data, data.readOrCreateIdentity(snapshotExists));
       store.load();
+      loaded = true;
       return store;
     } catch (IOException e) {
-      closeFailed(store, data);
       throw new StorageException(folder, "cannot be read or written: " + e.getMessage(), e);
-    } catch (StorageException e) {
-      closeFailed(store, data);
-      throw e;
+    } finally {
+      // Also after an unchecked exception: a folder that stayed locked could not be opened again.
+      if (!loaded) {
+        closeFailed(store, data);
+      }
     }
   }
 
@@ -216,7 +220,7 @@
     FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE);
     log = channel;
     if (scan.validBytes() < channel.size()) {
-      channel.truncate(scan.validBytes());
+      folder.truncate(channel, scan.validBytes());
     }
     folder.sync(channel);
     channel.position(scan.validBytes());
@@ -297,7 +301,7 @@
     for (Path file : folder.files()) {
       String name = file.getFileName().toString();
       if (name.startsWith(LOG_PREFIX) && !name.equals(LOG_PREFIX + currentGeneration)) {
-        Files.delete(file);
+        folder.delete(file);
       }
     }
   }
