Let no failure end a replica, and bound the inputs that wait for it

Operators saw (played with real processes): a control VM whose disk was full at its first start ended four times in 10 s with exit code 1; and after an OutOfMemoryError on a replica's thread changes stayed unanswered while the process ran. Causes: the files were opened once before the process started anything else; only StorageException and RuntimeException led to opening them again, so that an Error ended the thread with nothing but a trace; inputs queued without a limit while a write hung; requests in a batch with an input that failed were never answered. The part of ReplicaDriver that belongs to one opening is ReplicaSession, created anew each time.

--- a/server/src/main/java/org/clementinesail/server/ServerMain.java
+++ b/server/src/main/java/org/clementinesail/server/ServerMain.java
@@ -12,7 +12,6 @@
 import org.clementinesail.server.settings.SettingsProblem;
 import org.clementinesail.server.settings.SettingsReader;
 import org.clementinesail.server.settings.SettingsResult;
-import org.clementinesail.server.storage.StorageException;
 import org.clementinesail.server.wiring.DaggerServerComponent;
 import org.clementinesail.server.wiring.VmServer;
 
@@ -96,9 +95,6 @@
     CountDownLatch stopped = new CountDownLatch(1);
     try {
       server.start();
-    } catch (StorageException e) {
-      err.println("clementinesail-server: " + e.getMessage());
-      return START_FAILED;
     } catch (RuntimeException e) {
       err.println("clementinesail-server: cannot start: " + e.getMessage());
       return START_FAILED;
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -2,38 +2,27 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.clementinesail.core.replication.LogEntry;
-import org.clementinesail.core.replication.Output;
-import org.clementinesail.core.replication.ReplicaCore;
-import org.clementinesail.core.replication.ReplicaId;
 import org.clementinesail.core.replication.ReplicaMessage;
-import org.clementinesail.core.replication.Snapshot;
 import org.clementinesail.core.state.Command;
 import org.clementinesail.core.state.CommandResult;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.core.state.SystemState;
-import org.clementinesail.server.storage.ReplicaStore;
 import org.clementinesail.server.storage.StorageException;
 import org.clementinesail.wire.StateCodec;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
- * Runs one replica on its own thread: passes inputs to the {@link ReplicaCore}, then saves state,
- * sends messages and applies entries as the core's outputs say.
+ * Runs one replica on its own thread, from its files: passes inputs to it in batches, so that those
+ * that wait share one disk sync.
  *
- * <p>Inputs that wait are processed as one batch, so that they share one disk sync.
- *
- * <p>After a failure, such as a full disk, the replica is opened again from its files until that
- * succeeds, as after a restart of the process. Meanwhile it answers nothing.
+ * <p>After a failure, such as a full disk, and if the files cannot be opened at the start, the
+ * replica is opened until that succeeds, as after a restart of the process. Meanwhile it refuses
+ * all requests. Inputs beyond a limit are refused too, such as during a write that hangs.
  *
  * <pre>{@code
  * ReplicaDriver driver = new ReplicaDriver(() -> open(folder), network::send, listener);
@@ -50,12 +39,6 @@
   /** Pause before a failed replica is opened again; short against the time until it catches up. */
   private static final long REOPEN_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Entries applied since the last snapshot before the next; bounds log size and restart time. */
-  private static final long ENTRIES_PER_SNAPSHOT = 1_000;
-
-  /** Bytes of commands applied since the last snapshot before the next, for the same reason. */
-  private static final long COMMAND_BYTES_PER_SNAPSHOT = 2_000_000;
-
   /** Receives newly accepted state on the replica's thread; must not block. */
   @FunctionalInterface
   public interface StateListener {
@@ -75,65 +58,36 @@
     default void desiredAccepted(DesiredDocument document) {}
   }
 
-  /** Input that the replica's thread processes. */
-  private interface Task {
-    void run(long now);
-
-    /** Called instead of {@link #run} while the replica is not open. */
-    default void reject() {}
-  }
-
-  /** Request whose result a caller waits for. */
-  private record RequestTask(CompletableFuture<?> result, Runnable action) implements Task {
-    @Override
-    public void run(long now) {
-      action.run();
-    }
-
-    @Override
-    public void reject() {
-      result.completeExceptionally(new NotLeaderException(""));
-    }
-  }
-
   private final ReplicaOpener opener;
   private final Consumer<ReplicaMessage> sender;
   private final StateListener listener;
-  private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
-  private final PendingRequests requests = new PendingRequests();
+  private final ReplicaInputs inputs = new ReplicaInputs();
+  private final List<ReplicaTask> batch = new ArrayList<>();
   private final Thread thread;
-  private ReplicaCore core;
-  private ReplicaStore store;
-  private SystemState state = SystemState.empty();
-  private long appliedIndex;
-  private long bytesSinceSnapshot;
   private long notifiedVersion;
-  private final List<Runnable> completions = new ArrayList<>();
+  private @Nullable Throwable failure;
+  private String loggedReason = "";
+  private volatile @Nullable ReplicaSession session;
   private volatile ReplicaStatus status = ReplicaStatus.NONE;
   private volatile @Nullable List<String> newSeeds;
   private volatile boolean stopping;
 
   /**
-   * Opens a replica; {@link #start} runs it.
+   * Creates a driver; {@link #start} opens and runs the replica.
    *
-   * @param opener opens the files and creates the replica, now and after each failure
+   * @param opener opens the files and creates the replica, at the start and after each failure
    * @param sender sends messages to other replicas; must not block
    * @param listener receives newly accepted state
-   * @throws StorageException if the files cannot be opened now
    */
   public ReplicaDriver(
-      ReplicaOpener opener, Consumer<ReplicaMessage> sender, StateListener listener)
-      throws StorageException {
+      ReplicaOpener opener, Consumer<ReplicaMessage> sender, StateListener listener) {
     this.opener = opener;
-    ReplicaOpener.OpenReplica opened = opener.open();
-    this.core = opened.core();
-    this.store = opened.store();
     this.sender = sender;
-    this.listener = listener;
+    this.listener = new NewestVersionListener(listener);
     this.thread = new Thread(this::run, "replica");
   }
 
-  /** Starts the replica's thread. */
+  /** Starts the replica's thread, which opens the files. */
   public void start() {
     thread.start();
   }
@@ -143,13 +97,18 @@
     return status;
   }
 
+  /** Returns the size of the inputs that wait for the replica, in bytes. */
+  public long waitingBytes() {
+    return inputs.bytes();
+  }
+
   /**
    * Queues a message from another replica.
    *
-   * @param message the message; dropped once the driver stops
+   * @param message the message; dropped if too many inputs wait, and once the driver stops
    */
   public void receive(ReplicaMessage message) {
-    submit(now -> core.receive(message, now));
+    submit(new MessageTask(message));
   }
 
   /**
@@ -157,7 +116,8 @@
    *
    * @param command the command to replicate
    * @return its result once a majority has accepted it; fails with {@link NotLeaderException} if
-   *     this replica is not the leader or lost leadership before the command was accepted
+   *     this replica is not the leader, lost leadership before the command was accepted, has failed
+   *     or has too many inputs that wait
    */
   public CompletableFuture<CommandResult> propose(Command command) {
     if (stopping) {
@@ -165,7 +125,7 @@
     }
     CompletableFuture<CommandResult> result = new CompletableFuture<>();
     byte[] bytes = StateCodec.encode(command).toByteArray();
-    submit(new RequestTask(result, () -> core.propose(requests.addProposal(result), bytes)));
+    submit(new ReplicaTask.Request(result, open -> open.propose(result, bytes), bytes.length));
     return result;
   }
 
@@ -175,14 +135,14 @@
    * @param query reads from the state; must not keep a reference to it
    * @param <T> type of the query's result
    * @return the query's result; fails with {@link NotLeaderException} if this replica is not the
-   *     leader
+   *     leader, has failed or has too many inputs that wait
    */
   public <T> CompletableFuture<T> read(Function<SystemState, T> query) {
     if (stopping) {
       return CompletableFuture.failedFuture(new NotLeaderException(""));
     }
     CompletableFuture<Object> result = new CompletableFuture<>();
-    submit(new RequestTask(result, () -> core.read(requests.addRead(query, result))));
+    submit(new ReplicaTask.Request(result, open -> open.read(query, result), 0));
     @SuppressWarnings("unchecked")
     CompletableFuture<T> typed = (CompletableFuture<T>) result;
     return typed;
@@ -195,12 +155,11 @@
    */
   public void replaceSeeds(List<String> vms) {
     newSeeds = List.copyOf(vms);
-    submit(now -> core.replaceSeeds(vms));
   }
 
   /** Transfers leadership to another replica if this one leads. */
   public void transferLeadership() {
-    submit(core::transferLeadership);
+    submit((open, now) -> open.core().transferLeadership(now));
   }
 
   @Override
@@ -212,189 +171,150 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    store.close();
+    ReplicaSession open = session;
+    if (open != null) {
+      open.close();
+    }
   }
 
-  private void submit(Task task) {
-    if (stopping) {
-      return;
+  /** Message from another replica. */
+  private record MessageTask(ReplicaMessage message) implements ReplicaTask {
+    @Override
+    public void run(ReplicaSession open, long now) {
+      open.core().receive(message, now);
     }
-    tasks.add(task);
-  }
 
-  private void run() {
-    try {
-      while (!stopping) {
-        runUntilFailure();
-      }
-    } catch (InterruptedException e) {
-      Logger.debug("replica thread stopped");
+    @Override
+    public long bytes() {
+      return message.body().payloadBytes();
     }
   }
 
-  private void runUntilFailure() throws InterruptedException {
-    try {
-      while (!stopping) {
-        processBatch();
-      }
-    } catch (StorageException | RuntimeException e) {
-      if (!stopping) {
-        recover(e);
-      }
+  /** Passes a version on only once, although it is read again after each failure. */
+  private final class NewestVersionListener implements StateListener {
+    private final StateListener receiver;
+
+    NewestVersionListener(StateListener receiver) {
+      this.receiver = receiver;
     }
-  }
 
-  private void processBatch() throws InterruptedException, StorageException {
-    Task first = tasks.poll(TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-    List<Task> batch = new ArrayList<>();
-    if (first != null) {
-      batch.add(first);
-      tasks.drainTo(batch, MAX_BATCH_TASKS);
+    @Override
+    public void rulesAccepted(long number) {
+      receiver.rulesAccepted(number);
     }
-    long now = System.nanoTime();
-    for (Task task : batch) {
-      task.run(now);
+
+    @Override
+    public void desiredAccepted(DesiredDocument document) {
+      if (document.version() > notifiedVersion) {
+        receiver.desiredAccepted(document);
+        notifiedVersion = document.version();
+      }
     }
-    core.tick(now);
-    core.flush(now);
-    performOutputs(core.takeOutputs());
-    updateStatus(now);
-    notifyAccepted();
-    compactIfDue();
   }
 
-  /**
-   * Notifies the listener of the newest desired state, once per batch because the log that is
-   * replayed after a start holds many versions. Completes proposals only afterwards, so that VMs
-   * that act on a change learn of it before its proposer does.
-   */
-  private void notifyAccepted() {
-    if (state.desiredDocument().version() > notifiedVersion) {
-      notifiedVersion = state.desiredDocument().version();
-      listener.desiredAccepted(state.desiredDocument());
+  private void submit(ReplicaTask task) {
+    if (!stopping) {
+      inputs.offer(task);
     }
-    completions.forEach(Runnable::run);
-    completions.clear();
   }
 
-  private void performOutputs(List<Output> outputs) throws StorageException {
-    List<Output.Save> saves = new ArrayList<>();
-    for (Output output : outputs) {
-      if (output instanceof Output.Save save) {
-        saves.add(save);
+  private void run() {
+    try {
+      while (!stopping) {
+        runUntilFailure();
       }
+    } catch (InterruptedException e) {
+      Logger.debug("replica thread stopped");
     }
-    if (!saves.isEmpty()) {
-      store.save(saves);
-    }
-    for (Output output : outputs) {
-      if (output instanceof Output.Send send) {
-        sender.accept(send.message());
-      } else if (output instanceof Output.Apply apply) {
-        apply(apply.entry());
-      } else if (output instanceof Output.Restore restore) {
-        state = StateCodec.decodeState(restore.snapshot().state());
-        appliedIndex = restore.snapshot().index();
-      } else {
-        handleRequestOutput(output);
+  }
+
+  /**
+   * Opens the replica and runs it until it fails. No failure ends the thread, not even an error of
+   * memory, because nobody else opens the replica again; the next round handles it, so that a
+   * second failure meanwhile does not end the thread either.
+   */
+  private void runUntilFailure() throws InterruptedException {
+    try {
+      Throwable cause = failure;
+      if (cause != null) {
+        recover(cause);
       }
+      ReplicaSession open = openSession();
+      while (!stopping) {
+        processBatch(open);
+      }
+    } catch (StorageException | RuntimeException | Error e) {
+      failure = e;
     }
   }
 
-  private void handleRequestOutput(Output output) {
-    if (output instanceof Output.Appended appended) {
-      requests.onAppended(appended, this::notLeader);
-    } else if (output instanceof Output.Refused refused) {
-      requests.reject(refused.operationId(), this::notLeader);
-    } else if (output instanceof Output.ReadConfirmed confirmed) {
-      requests.completeRead(confirmed.operationId(), state);
+  private ReplicaSession openSession() throws StorageException {
+    ReplicaOpener.OpenReplica opened = failure == null ? opener.open() : opener.reopen();
+    ReplicaSession open = new ReplicaSession(opened, sender, listener);
+    session = open;
+    if (failure != null) {
+      Logger.info("replica is open again, last entry {}", opened.core().lastIndex());
     }
+    failure = null;
+    loggedReason = "";
+    return open;
   }
 
-  private void apply(LogEntry entry) {
-    appliedIndex = entry.index();
-    Optional<CompletableFuture<CommandResult>> proposer =
-        requests.removeCommand(entry.index(), entry.term(), this::notLeader);
-    if (!(entry.payload() instanceof LogEntry.Command command)) {
-      proposer.ifPresent(result -> result.completeExceptionally(notLeader()));
-      return;
+  private void processBatch(ReplicaSession open) throws InterruptedException, StorageException {
+    ReplicaTask first = inputs.poll(TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    if (first != null) {
+      batch.add(first);
+      inputs.drainTo(batch, MAX_BATCH_TASKS);
     }
-    long rulesBefore = state.latestRules().number();
-    bytesSinceSnapshot += command.bytes().length;
-    CommandResult result = state.apply(StateCodec.decodeCommand(command.bytes()));
-    if (state.latestRules().number() > rulesBefore) {
-      listener.rulesAccepted(state.latestRules().number());
+    List<String> seeds = newSeeds;
+    if (seeds != null) {
+      open.core().replaceSeeds(seeds);
     }
-    proposer.ifPresent(future -> completions.add(() -> future.complete(result)));
+    long now = System.nanoTime();
+    open.process(batch, now);
+    status = open.status(now);
+    open.notifyAccepted();
+    batch.clear();
+    open.compactIfDue();
   }
 
-  private void compactIfDue() throws StorageException {
-    boolean belowEntryLimit = appliedIndex - core.snapshot().index() < ENTRIES_PER_SNAPSHOT;
-    if (belowEntryLimit && bytesSinceSnapshot < COMMAND_BYTES_PER_SNAPSHOT) {
-      return;
+  /** Rejects all requests, and those that arrive until the replica is to be opened again. */
+  private void recover(Throwable cause) throws InterruptedException {
+    endSession();
+    logFailure(cause);
+    long deadline = System.nanoTime() + REOPEN_DELAY_NANOS;
+    for (long left = REOPEN_DELAY_NANOS; left > 0; left = deadline - System.nanoTime()) {
+      ReplicaTask task = inputs.poll(left, TimeUnit.NANOSECONDS);
+      if (task != null) {
+        task.reject();
+      }
     }
-    bytesSinceSnapshot = 0;
-    Snapshot snapshot = core.compact(appliedIndex, StateCodec.encode(state.contents()));
-    store.compact(snapshot, core.entriesAfterSnapshot());
   }
 
-  private NotLeaderException notLeader() {
-    return new NotLeaderException(core.leader().map(ReplicaId::vm).orElse(""));
-  }
-
-  private void updateStatus(long now) {
+  private void endSession() {
+    ReplicaSession ended = session;
+    session = null;
     status =
-        new ReplicaStatus(
-            core.role().name().toLowerCase(Locale.ROOT).replace('_', '-'),
-            core.term(),
-            core.leader().map(ReplicaId::vm).orElse(""),
-            core.commitIndex(),
-            core.lastIndex(),
-            core.config().voters().stream().map(ReplicaId::vm).toList(),
-            core.config().learners().stream().map(ReplicaId::vm).toList(),
-            core.leaseDeadline(now));
-  }
-
-  /** Rejects all requests and opens the replica again, until that succeeds. */
-  private void recover(Exception cause) throws InterruptedException {
-    Logger.error(cause, "replica failed and will be opened again: {}", cause.getMessage());
-    status = ReplicaStatus.failed(core.term(), core.commitIndex());
-    notifyAccepted();
-    requests.rejectAll();
-    store.close();
-    do {
-      rejectTasks(System.nanoTime() + REOPEN_DELAY_NANOS);
-    } while (!reopen());
-    Logger.info("replica is open again, last entry {}", core.lastIndex());
-  }
-
-  private void rejectTasks(long deadline) throws InterruptedException {
-    long left = deadline - System.nanoTime();
-    while (left > 0) {
-      Task task = tasks.poll(left, TimeUnit.NANOSECONDS);
-      if (task != null) {
-        task.reject();
+        ended == null
+            ? ReplicaStatus.failed(status.term(), status.commitIndex())
+            : ReplicaStatus.failed(ended.core().term(), ended.core().commitIndex());
+    if (ended != null) {
+      try (ended) {
+        ended.fail();
+      } catch (RuntimeException | Error e) {
+        Logger.error(e, "listener failed beside the replica: {}", e.getMessage());
       }
-      left = deadline - System.nanoTime();
     }
+    batch.forEach(ReplicaTask::reject);
+    batch.clear();
   }
 
-  private boolean reopen() {
-    try {
-      ReplicaOpener.OpenReplica opened = opener.reopen();
-      core = opened.core();
-      store = opened.store();
-    } catch (StorageException | RuntimeException e) {
-      Logger.warn(e, "replica cannot be opened yet: {}", e.getMessage());
-      return false;
-    }
-    List<String> seeds = newSeeds;
-    if (seeds != null) {
-      core.replaceSeeds(seeds);
+  /** Logs each reason once, not at each attempt to open the replica. */
+  private void logFailure(Throwable cause) {
+    String reason = String.valueOf(cause.getMessage());
+    if (!reason.equals(loggedReason)) {
+      loggedReason = reason;
+      Logger.error(cause, "replica failed and will be opened again: {}", reason);
     }
-    state = SystemState.empty();
-    appliedIndex = 0;
-    bytesSinceSnapshot = 0;
-    return true;
   }
 }
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaOpener.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaOpener.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.control;
 
+import java.util.function.Function;
 import org.clementinesail.core.replication.ReplicaCore;
 import org.clementinesail.core.replication.Role;
 import org.clementinesail.server.storage.ReplicaStore;
@@ -23,7 +24,29 @@
    * @param core replication state machine with the state that the files held
    * @param store files of the replica, which the receiver closes
    */
-  record OpenReplica(ReplicaCore core, ReplicaStore store) {}
+  record OpenReplica(ReplicaCore core, ReplicaStore store) {
+    /**
+     * Creates a replica from its files, which are closed if that fails: a folder that stayed locked
+     * could not be opened again.
+     *
+     * @param store open files
+     * @param factory creates the state machine from the state that the files hold
+     * @return the replica
+     */
+    public static OpenReplica create(
+        ReplicaStore store, Function<ReplicaStore, ReplicaCore> factory) {
+      boolean created = false;
+      try {
+        ReplicaCore core = factory.apply(store);
+        created = true;
+        return new OpenReplica(core, store);
+      } finally {
+        if (!created) {
+          store.close();
+        }
+      }
+    }
+  }
 
   /**
    * Opens the files and creates a replica from them.
@@ -43,14 +66,17 @@
   default OpenReplica reopen() throws StorageException {
     OpenReplica opened = open();
     ReplicaCore core = opened.core();
+    boolean written = false;
     try {
       if (core.role() != Role.BLANK) {
         opened.store().compact(core.snapshot(), core.entriesAfterSnapshot());
       }
+      written = true;
       return opened;
-    } catch (StorageException e) {
-      opened.store().close();
-      throw e;
+    } finally {
+      if (!written) {
+        opened.store().close();
+      }
     }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -132,7 +132,7 @@
   }
 
   @Override
-  public void start() throws StorageException {
+  public void start() {
     ReplicaDriver driver =
         new ReplicaDriver(this::openReplica, this::send, new AcceptedStateListener());
     replica = driver;
@@ -178,15 +178,16 @@
         settings.formsCluster() && settings.seeds().contains(localVm)
             ? settings.seeds()
             : List.of();
-    ReplicaCore core =
-        new ReplicaCore(
-            new ReplicaId(localVm, store.diskId()),
-            new Membership(initialVoters, settings.seeds(), true),
-            store.loadedState(),
-            TIMING,
-            new SecureRandom(),
-            System.nanoTime());
-    return new ReplicaOpener.OpenReplica(core, store);
+    return ReplicaOpener.OpenReplica.create(
+        store,
+        open ->
+            new ReplicaCore(
+                new ReplicaId(localVm, open.diskId()),
+                new Membership(initialVoters, settings.seeds(), true),
+                open.loadedState(),
+                TIMING,
+                new SecureRandom(),
+                System.nanoTime()));
   }
 
   /** Handles state accepted by the replicas; called on the replica's thread. */
--- a/server/src/main/java/org/clementinesail/server/nodes/Node.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Node.java
@@ -1,17 +1,15 @@
 package org.clementinesail.server.nodes;
 
 import java.util.List;
-import org.clementinesail.server.storage.StorageException;
 
 /** A VM process, either {@link ControlNode} or {@link EntryNode}. */
 public interface Node {
 
   /**
-   * Starts to accept connections and to connect to control VMs.
-   *
-   * @throws StorageException if the data folder cannot be used
+   * Starts to accept connections and to connect to control VMs. A data folder that cannot be used,
+   * such as on a full disk, is tried again until it can.
    */
-  void start() throws StorageException;
+  void start();
 
   /**
    * Replaces the seeds from the settings.
--- a/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
+++ b/server/src/main/java/org/clementinesail/server/wiring/VmServer.java
@@ -93,11 +93,10 @@
   }
 
   /**
-   * Starts all components; the HTTP servers come last.
-   *
-   * @throws StorageException if the data folder cannot be opened or read
+   * Starts all components; the HTTP servers come last. A replica whose data folder cannot be opened
+   * is opened later.
    */
-  public void start() throws StorageException {
+  public void start() {
     if (settings.dataFolder() != null) {
       replica =
           new ReplicaDriver(this::openReplica, frameRouter::send, frameRouter::onRulesAccepted);
@@ -160,15 +159,16 @@
 
   private ReplicaOpener.OpenReplica openReplica() throws StorageException {
     ReplicaStore store = openStore(settings);
-    ReplicaCore core =
-        new ReplicaCore(
-            new ReplicaId(settings.vm(), store.diskId()),
-            Membership.fixed(settings.replicaVms()),
-            store.loadedState(),
-            REPLICA_TIMING,
-            new SecureRandom(),
-            System.nanoTime());
-    return new ReplicaOpener.OpenReplica(core, store);
+    return ReplicaOpener.OpenReplica.create(
+        store,
+        open ->
+            new ReplicaCore(
+                new ReplicaId(settings.vm(), open.diskId()),
+                Membership.fixed(settings.replicaVms()),
+                open.loadedState(),
+                REPLICA_TIMING,
+                new SecureRandom(),
+                System.nanoTime()));
   }
 
   private static ReplicaStore openStore(Settings settings) throws StorageException {
--- a/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
+++ b/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
@@ -51,7 +51,7 @@
 
   /** Starts the only replica of a cluster in a new folder. */
   @BeforeMethod
-  public void start() throws IOException, StorageException {
+  public void start() throws IOException {
     notifications.clear();
     failedOpens = 0;
     folder = Files.createTempDirectory("replica");
@@ -65,7 +65,7 @@
     MoreFiles.deleteRecursively(folder, RecursiveDeleteOption.ALLOW_INSECURE);
   }
 
-  private void startDriver() throws StorageException {
+  private void startDriver() {
     ReplicaDriver.StateListener listener =
         new ReplicaDriver.StateListener() {
           @Override
