Blame the part that was at all crashes rather than one at some

All 30 engines had crashed within 0.4 s, and the part was not refused when they came back. It had been at all 30 crashes, of which four counted separately; four sound parts had been at five to seven, of which five counted. Which ones count depends on the requests under way, but the comparison of suspects used only that number, so the deadly part was taken for one that was only beside the sound ones. The same mistake refused sound parts: they were not seen to be beside the deadly one.

A part that was at all crashes of another and at further ones is now the stronger suspect, whatever their separate crashes.

--- a/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/CrashRecord.java
@@ -162,6 +162,17 @@
     return indexOf(crashes, target) >= 0;
   }
 
+  /** Returns whether the part has enough crashes to be refused for a time. */
+  boolean isRefused() {
+    return refusedUntil(separateCrashes()).isPresent();
+  }
+
+  /** Returns whether the part was at all crashes of another one and at further ones. */
+  boolean hasMoreThanCrashesOf(CrashRecord other) {
+    return crashes.size() > other.crashes.size()
+        && other.crashes.stream().allMatch(crash -> hasCrashOf(crash.target()));
+  }
+
   /** Returns whether the part was answered longer ago than another, or never. */
   boolean answeredBefore(CrashRecord other) {
     return other.answeredAt.isPresent()
--- a/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
+++ b/core/src/main/java/org/clementinesail/core/crashes/PartCrashes.java
@@ -214,16 +214,21 @@
   }
 
   /**
-   * Returns whether another part of requests at a crash has more crashes, or as many and was
-   * answered longer ago: the part in question was only beside it.
+   * Returns whether another part of requests at a crash has more separate crashes, or as many and
+   * was answered longer ago: the part in question was only beside it. A part that was at all
+   * crashes of the other and at further ones is never only beside it: which of them are separate
+   * depends on the requests under way, and differs between the parts.
    */
   private boolean hasStrongerSuspect(CrashRecord.Crash crash, CrashRecord record, int crashes) {
     return records.values().stream()
         .filter(other -> other.key() != record.key() && other.hasCrashOf(crash.target()))
+        .filter(other -> !record.hasMoreThanCrashesOf(other))
         .anyMatch(
             other -> {
               int count = other.separateCrashes().size();
-              return count > crashes || (count == crashes && other.answeredBefore(record));
+              return count > crashes
+                  || (count == crashes && other.answeredBefore(record))
+                  || (other.isRefused() && other.hasMoreThanCrashesOf(record));
             });
   }
 
--- a/core/src/test/java/org/clementinesail/core/crashes/CrashFleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/CrashFleetTest.java
@@ -27,6 +27,7 @@
       loads.add(new Object[] {seed, 9, 40, 0.25, 10});
       loads.add(new Object[] {seed, 60, 400, 0.05, 10});
       loads.add(new Object[] {seed, 60, 400, 0.1, 3});
+      loads.add(new Object[] {seed, 60, 400, 0.25, 1});
     }
     return loads.toArray(Object[][]::new);
   }
--- a/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
+++ b/core/src/test/java/org/clementinesail/core/crashes/PartCrashesTest.java
@@ -123,6 +123,21 @@
       assertTrue(parts.refusedUntil(List.of(2L), at(600)).isPresent());
     }
 
+    /** The part at all crashes is refused, not one at some that happen to count separately. */
+    @Test
+    public void partAtAllCrashesIsNotClearedByOneAtSome() {
+      PartCrashes parts = new PartCrashes();
+      int[][] crashes = {{0, 70}, {71, 140}, {141, 160}, {161, 165}};
+      for (int[] times : crashes) {
+        parts.recordCrash(PART, crash("e" + times[1], times[0], times[1]));
+        parts.recordCrash(2, crash("e" + times[1], Math.min(times[0], 60), times[1]));
+      }
+      parts.recordCrash(2, crash("e240", 171, 240));
+      parts.recordCrash(2, crash("e340", 241, 340));
+      assertTrue(parts.refusedUntil(List.of(2L), at(400)).isPresent());
+      assertFalse(refused(parts, 400));
+    }
+
     /** Records of parts that were beside a crash do not displace that of a refused part. */
     @Test
     public void refusedPartIsNotDisplaced() {
