--- a/tools/plays/extra_callers.py
+++ b/tools/plays/extra_callers.py
@@ -126,7 +126,8 @@
         elif success and stamp is None:
             self.case(request, "success without a stamp", head.start)
         elif own and own[0]["status"] != head.status:
-            what = "success where the target failed" if success else "another status"
+            hidden = success and own[0]["status"] >= 400
+            what = "success where the target failed" if hidden else "another status"
             self.case(request, what, head.start)
         elif own and method != "HEAD" and not self.body_matches(request, own[0], body, complete):
             self.case(request, "another body", body[:200])
