--- a/server/src/main/java/org/clementinesail/server/control/PendingRequests.java
+++ b/server/src/main/java/org/clementinesail/server/control/PendingRequests.java
@@ -62,6 +62,20 @@
     return Optional.of(command.result());
   }
 
+  /** Fails the commands up to an index, because a snapshot hides whether they were accepted. */
+  void rejectUpTo(long index, Supplier<NotLeaderException> failure) {
+    commands
+        .entrySet()
+        .removeIf(
+            command -> {
+              boolean hidden = command.getKey() <= index;
+              if (hidden) {
+                command.getValue().result().completeExceptionally(failure.get());
+              }
+              return hidden;
+            });
+  }
+
   void completeRead(long operationId, SystemState state) {
     PendingRead read = reads.remove(operationId);
     if (read != null) {
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
@@ -149,6 +149,7 @@
   private void restore(Snapshot snapshot) {
     state = StateCodec.decodeState(snapshot.state());
     appliedIndex = snapshot.index();
+    requests.rejectUpTo(appliedIndex, this::notLeader);
   }
 
   private void handleRequestOutput(Output output) {
