Match no response with a request of the VM's earlier process

Callers on the older data path could see: the result of a request that an earlier process of the VM had sent, if the VM was started again before its response came.

Cause: ids of requests between VMs began at 1 with each process, and responses are sent to a VM by its name.

Evidence: PeerRequestsTest failed before ("expected [false] but found [true]") and passes after. The programs of the platform do not start this path.

The first id is random now.

--- a/server/src/main/java/org/clementinesail/server/control/PeerRequests.java
+++ b/server/src/main/java/org/clementinesail/server/control/PeerRequests.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.control;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +18,10 @@
   private final String localVm;
   private final BiPredicate<String, Frame> frameSender;
   private final Function<Request, CompletableFuture<Response>> localHandler;
-  private final AtomicLong nextId = new AtomicLong(1);
+
+  /** Begins anywhere: responses to an earlier process of this VM may still come. */
+  private final AtomicLong nextId = new AtomicLong(new SecureRandom().nextLong());
+
   private final Map<Long, CompletableFuture<Response>> pendingResponses = new ConcurrentHashMap<>();
 
   /**
