Tell the connection of a request instead of counting connections

It took fewer than three new connections in a round as proof that the kept one was used, but connections of the listener check that are accepted late count in the next round.

The target now records on which connection each request came, and the test compares the connection of the truncated answer with that of the answer before, in every round: no weaker, since each round is checked instead of their sum.

--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -42,6 +42,10 @@
   static final long SILENCE_MS = 1_200;
 
   final List<String> requests = new CopyOnWriteArrayList<>();
+
+  /** The connections on which the requests came, in the same order. */
+  final List<Socket> carriers = new CopyOnWriteArrayList<>();
+
   volatile Function<String, String> script = request -> CLOSE;
   volatile boolean endlessRunning;
   final AtomicLong bytesRepeated = new AtomicLong();
@@ -84,7 +88,7 @@
       for (String request = read(socket.getInputStream());
           !request.isEmpty();
           request = read(socket.getInputStream())) {
-        requests.add(request);
+        record(request, socket);
         String whole = script.apply(request);
         int endless = whole.indexOf(ENDLESS);
         String response = endless < 0 ? whole : whole.substring(0, endless);
@@ -106,6 +110,11 @@
     }
   }
 
+  private synchronized void record(String request, Socket socket) {
+    carriers.add(socket);
+    requests.add(request);
+  }
+
   private static void writeWithPauses(Socket socket, String text) throws IOException {
     boolean silent = false;
     for (String stretch : Splitter.on(SILENCE).split(text)) {
--- a/server/src/test/java/org/clementinesail/server/proxy/TruncatedHeadTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TruncatedHeadTest.java
@@ -2,7 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
 
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -56,17 +58,16 @@
       throws Exception {
     applyDesiredState();
     addTarget("t1", first, "a");
-    int cuts = 0;
     for (int cut = 0; cut < whole; cut++) {
       String part = response.substring(0, cut) + end;
       first.script = request -> request.contains("/lookup/") ? identifiedResponse(request) : part;
-      int connections = first.connections();
+      int arrived = first.carriers.size();
       assertEquals(status(call("GET", "/lookup/x", "Id: k" + cut + "\r\n", "")), 200);
       String answer = call("POST", path, "", "b" + cut);
       assertFalse(isWholeSuccess(answer), name(cut, answer));
-      cuts += first.connections() - connections < 3 ? 1 : 0;
+      Socket kept = first.carriers.get(arrived);
+      assertSame(first.carriers.get(arrived + 1), kept, "carrier " + name(cut, answer));
     }
-    assertEquals(cuts, whole, "requests on kept connections");
   }
 
   /** Returns whether a caller would take a response for a complete success. */
