--- a/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
+++ b/server/src/main/java/org/clementinesail/server/storage/DataFolder.java
@@ -7,8 +7,10 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.stream.Stream;
@@ -74,7 +76,7 @@
    */
   long readOrCreateIdentity(boolean snapshotExists) throws IOException, StorageException {
     Path path = path(IDENTITY_FILE);
-    if (Files.exists(path)) {
+    if (exists(path)) {
       String hex = new String(readRecord(path), StandardCharsets.US_ASCII);
       return Long.parseUnsignedLong(hex, HEX_RADIX);
     }
@@ -87,6 +89,20 @@
     return identity;
   }
 
+  /**
+   * Returns whether a file exists.
+   *
+   * @throws IOException if the disk does not tell, which {@link Files#exists} takes for "no"
+   */
+  static boolean exists(Path path) throws IOException {
+    try {
+      Files.readAttributes(path, BasicFileAttributes.class);
+      return true;
+    } catch (NoSuchFileException e) {
+      return false;
+    }
+  }
+
   /** Deletes all files except the lock. */
   void discard() throws IOException {
     // Deletes the identity first: without it, files left by a crash here cannot be loaded as the
--- a/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
+++ b/server/src/main/java/org/clementinesail/server/storage/ReplicaStore.java
@@ -70,7 +70,7 @@
     boolean loaded = false;
     try {
       data.deleteTemporaryFiles();
-      boolean snapshotExists = Files.exists(data.path(SNAPSHOT_FILE));
+      boolean snapshotExists = DataFolder.exists(data.path(SNAPSHOT_FILE));
       store = new ReplicaStore(data, data.readOrCreateIdentity(snapshotExists));
       store.load();
       loaded = true;
@@ -183,7 +183,7 @@
 
   private void load() throws IOException, StorageException {
     Path snapshotPath = folder.path(SNAPSHOT_FILE);
-    if (!Files.exists(snapshotPath)) {
+    if (!DataFolder.exists(snapshotPath)) {
       deleteStaleLogs(-1); // without a snapshot, every log is stale
       return;
     }
@@ -207,7 +207,7 @@
 
   private List<LogEntry> readLog(Snapshot snapshot) throws IOException, StorageException {
     Path path = logPath(generation);
-    if (!Files.exists(path)) {
+    if (!DataFolder.exists(path)) {
       throw new StorageException.Corrupted(
           path, "the log file that the snapshot refers to is missing");
     }
