Give the late second answer of a call to no other call

A call whose handler failed after it had asked others was answered with 500; the answer that came later was sent as that of the next call on the connection. No handler of the programs is known to do this. A call is answered once now, and further answers are dropped.

Evidence: a new row of PipelinedCallsTest got "500 200 to /fails" before, and gets "500 200 to /slow" now.

--- a/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
@@ -83,12 +83,15 @@
       handler.handle(
           request,
           response -> {
-            answered.set(true);
-            reply(context, keepAlive, response);
+            if (answered.compareAndSet(false, true)) {
+              reply(context, keepAlive, response);
+            } else {
+              response.release();
+            }
           });
     } catch (RuntimeException | StackOverflowError e) {
       logFailure("request failed", request.uri(), e);
-      if (!answered.get()) {
+      if (answered.compareAndSet(false, true)) {
         reply(context, keepAlive, status(HttpResponseStatus.INTERNAL_SERVER_ERROR));
       }
     }
--- a/server/src/test/java/org/clementinesail/server/fleet/PipelinedCallsTest.java
+++ b/server/src/test/java/org/clementinesail/server/fleet/PipelinedCallsTest.java
@@ -35,7 +35,7 @@
   private Channel channel;
   private final List<String> handled = new CopyOnWriteArrayList<>();
 
-  /** Starts an endpoint that answers each call with its path, those to /slow later. */
+  /** Starts an endpoint that answers with the path, to /slow later, to /fails after an error. */
   @BeforeMethod
   public void start() {
     handled.clear();
@@ -56,6 +56,9 @@
     Runnable answer = () -> reply.accept(HttpEndpoint.text(200, "text/plain", "to " + uri + ";"));
     if (uri.equals("/slow")) {
       loop.schedule(answer, SLOW_MS, TimeUnit.MILLISECONDS);
+    } else if (uri.equals("/fails")) {
+      loop.schedule(answer, SLOW_MS / 2, TimeUnit.MILLISECONDS);
+      throw new IllegalStateException("thrown by the test");
     } else {
       answer.run();
     }
@@ -99,6 +102,11 @@
         call("/slow", none) + call("/long", tooLong) + rest + call("/b", close),
         "200 to /slow;413 200 to /b;"
       },
+      {
+        "late second answer of a failed call",
+        call("/fails", none) + call("/slow", none) + call("/b", close),
+        "500 200 to /slow;200 to /b;"
+      },
       {"body too long", call("/long", tooLong) + rest + call("/b", close), "413 200 to /b;"},
       {"slow call and no HTTP", call("/slow", none) + "hello\r\n\r\n", "200 to /slow;400 "},
       {"calls after the last one", call("/a", close) + call("/evil", close), "200 to /a;"},
