Accept votes and heartbeats while a large input waits for the replica

While an input above the limit waited alone, every further one was refused, also those without a payload, such as votes, heartbeats and reads. Found by the independent review of the bounded queue.

Evidence: ReplicaInputsTest.inputWithoutPayloadIsNotRefusedBehindLargeOne failed before and passes now.

--- a/server/src/main/java/org/clementinesail/server/control/ReplicaInputs.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaInputs.java
@@ -25,7 +25,7 @@
   void offer(ReplicaTask task) {
     long size = task.bytes();
     long total = bytes.addAndGet(size);
-    boolean tooLarge = total > MAX_BYTES && total > size;
+    boolean tooLarge = size > 0 && total > MAX_BYTES && total > size;
     if (tooLarge || tasks.size() >= MAX_TASKS) {
       bytes.addAndGet(-size);
       task.reject();
