Keep to the limits that targets name, over all VMs together

Cause: the header was not read, and nothing shares a rate between VMs: each VM decides alone. Change: every VM reads the limit and tells the control VMs, which tell the others. A path may not begin at an engine without a permit. Refused callers get Retry-After from the rates.

--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -76,7 +76,8 @@
   public record Requirements(int promptTokens, int answerTokens, String dataCentre) {}
 
   /** An engine with memory for the request, and its expected time per layer for the request. */
-  private record Candidate(Fleet.Member member, LayerRange layers, double millisPerLayer) {}
+  private record Candidate(
+      Fleet.Member member, LayerRange layers, double millisPerLayer, boolean mayBeFirst) {}
 
   /**
    * The cheapest path found so far that ends at a layer boundary, in one data centre.
@@ -111,6 +112,7 @@
    * @param engines engines that accept new work
    * @param requirements size of the request and its preferred location
    * @param excluded identities of targets that must not be used
+   * @param notFirst identities of targets that must not get the request as the first of a path
    * @param vms number of VMs that send requests to the engines
    * @param now current time in nanoseconds of this VM's monotonic clock
    * @return the hops in layer order, or empty if no engines with memory for the request cover all
@@ -121,12 +123,14 @@
       List<Fleet.Member> engines,
       Requirements requirements,
       Set<String> excluded,
+      Set<String> notFirst,
       int vms,
       long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (Fleet.Member engine : engines) {
       if (!excluded.contains(engine.statement().id()) && !engine.isSuspect(now)) {
-        candidate(model, engine, requirements, vms, now).ifPresent(candidates::add);
+        boolean first = !notFirst.contains(engine.statement().id());
+        candidate(model, engine, requirements, first, vms, now).ifPresent(candidates::add);
       }
     }
     double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
@@ -140,7 +144,12 @@
   }
 
   private Optional<Candidate> candidate(
-      EngineModel model, Fleet.Member engine, Requirements requirements, int vms, long now) {
+      EngineModel model,
+      Fleet.Member engine,
+      Requirements requirements,
+      boolean mayBeFirst,
+      int vms,
+      long now) {
     LayerRange layers = engine.layers();
     String id = engine.statement().id();
     Accelerator kind = model.accelerator(engine.statement().accelerator()).orElse(null);
@@ -173,7 +182,8 @@
             + prefillMillis * (1 + PREFILLS_PER_WAITING_REQUEST * waiting + unreported);
     double randomFactor = 1 + RANDOM_SPREAD * random.nextDouble();
     return Optional.of(
-        new Candidate(engine, layers, totalMillis * slowdown * randomFactor / model.layers()));
+        new Candidate(
+            engine, layers, totalMillis * slowdown * randomFactor / model.layers(), mayBeFirst));
   }
 
   private boolean hasMemory(
@@ -219,7 +229,9 @@
       Map<String, PartialPath> reached = best.get(boundary);
       if (reached != null && boundary < model.layers()) {
         for (Candidate candidate : candidates) {
-          if (candidate.layers().from() <= boundary && boundary < candidate.layers().to()) {
+          if (candidate.layers().from() <= boundary
+              && boundary < candidate.layers().to()
+              && (boundary > 0 || candidate.mayBeFirst())) {
             extend(best, reached, boundary, candidate, boundaries, requirements, remoteHopMillis);
           }
         }
--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/ratelimits/package-info.java
@@ -0,0 +1,2 @@
+/** Shares the request rates that targets name between the VMs that send to them. */
+package org.clementinesail.core.ratelimits;
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -62,7 +62,7 @@
 
   private List<Hop> plan(Set<String> excluded) {
     return planner
-        .plan(TestModels.MODEL, fleet.ready("lm", 1), REQUIREMENTS, excluded, 7, 1)
+        .plan(TestModels.MODEL, fleet.ready("lm", 1), REQUIREMENTS, excluded, Set.of(), 7, 1)
         .orElse(List.of());
   }
 
@@ -225,7 +225,7 @@
 
   private List<Hop> planAt(long now, PathPlanner pathPlanner) {
     return pathPlanner
-        .plan(TestModels.MODEL, fleet.ready("lm", now), REQUIREMENTS, Set.of(), 7, now)
+        .plan(TestModels.MODEL, fleet.ready("lm", now), REQUIREMENTS, Set.of(), Set.of(), 7, now)
         .orElse(List.of());
   }
 
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -30,6 +30,7 @@
 import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetPublisher;
 import org.clementinesail.server.fleet.HttpEndpoint;
+import org.clementinesail.server.fleet.PermitCoordinator;
 import org.clementinesail.server.fleet.PlacementLoop;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.Dialect;
@@ -85,6 +86,7 @@
   private final Subscriptions subscriptions;
   private final FleetPublisher publisher;
   private final CrashRelay crashRelay;
+  private final PermitCoordinator permits;
   private @Nullable ReplicaDriver replica;
   private @Nullable DesiredState latestDesiredState;
   private String loggedRole = "";
@@ -126,9 +128,18 @@
             new Fleet(settings.leaseNanos()),
             this::controlVms,
             this::isLeader,
-            () -> status().knowsLeader(),
+            this::knowsLeader,
             log);
     this.crashRelay = new CrashRelay(loop, network, publisher::trafficVms);
+    this.permits =
+        new PermitCoordinator(
+            loop,
+            network,
+            publisher.fleet(),
+            publisher::trafficVms,
+            this::isLeader,
+            this::knowsLeader,
+            log);
   }
 
   @Override
@@ -144,6 +155,7 @@
         });
     driver.start();
     publisher.start();
+    permits.start();
     TargetPool pool = new TargetPool(loop, dialect, log);
     new PlacementLoop(loop, publisher, this::isLeader, this::desiredState, engineDialect, pool, log)
         .start();
@@ -241,6 +253,10 @@
     return status.role().equals("leader") && status.leaseDeadlineNanos() - System.nanoTime() > 0;
   }
 
+  private boolean knowsLeader() {
+    return status().knowsLeader();
+  }
+
   private Set<String> controlVms() {
     Set<String> vms = new HashSet<>(status().voters());
     vms.addAll(status().learners());
@@ -312,9 +328,14 @@
         publisher.onSubscribe(vm, frame.getSubscribe());
         if (frame.getSubscribe().getEverything() && frame.getSubscribe().getCarriesTraffic()) {
           crashRelay.sendAll(vm);
+          permits.sendAll(vm);
         }
       } else if (frame.hasPartCrashes()) {
         crashRelay.receive(frame.getPartCrashes());
+      } else if (frame.hasRateLimits()) {
+        permits.receive(frame.getRateLimits());
+      } else if (frame.hasPermitDemand()) {
+        permits.receive(vm, frame.getPermitDemand());
       } else if (frame.hasFleet()) {
         publisher.onFleetUpdate(frame.getFleet());
         subscriptions.updateControlVms(frame.getFleet().getControlVmsList());
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -18,6 +19,8 @@
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
+import org.clementinesail.core.ratelimits.Permits;
+import org.clementinesail.core.ratelimits.RateLimit;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
@@ -29,10 +32,12 @@
 import org.clementinesail.server.proxy.EngineDialect;
 import org.clementinesail.server.proxy.ProxyMetrics;
 import org.clementinesail.server.proxy.ProxyServer;
+import org.clementinesail.server.proxy.RateLimitReports;
 import org.clementinesail.server.proxy.RoutingState;
 import org.clementinesail.wire.CrashCodec;
 import org.clementinesail.wire.PeerListener;
 import org.clementinesail.wire.PeerNetwork;
+import org.clementinesail.wire.RateLimitCodec;
 import org.clementinesail.wire.SharedSecret;
 import org.clementinesail.wire.StateCodec;
 import org.clementinesail.wire.proto.FleetUpdate;
@@ -91,6 +96,10 @@
   private final Subscriptions subscriptions;
   private final LagDetector lag = new LagDetector(TOLERATED_TIMER_GAP_NANOS, MAX_LATE_NANOS);
   private boolean lagging;
+
+  /** Control VM that granted permits last; empty if none has. */
+  private String leader = "";
+
   private volatile boolean stopping;
 
   /**
@@ -130,11 +139,7 @@
             group);
     proxy
         .crashReports()
-        .sender(
-            records -> {
-              Frame frame = CrashCodec.encode(records, System.nanoTime());
-              network.peers().forEach(vm -> network.send(vm, frame));
-            });
+        .sender(records -> sendToControlVms(CrashCodec.encode(records, System.nanoTime())));
     this.subscriptions =
         new Subscriptions(
             network, true, () -> routing.desiredState().map(DesiredState::version).orElse(0L));
@@ -148,6 +153,12 @@
           subscriptions.replaceSeeds(settings.seeds());
           subscriptions.start(loop);
         });
+    proxy
+        .rateLimitReports()
+        .start(
+            new RateLimitReports.Sender(
+                limits -> sendToControlVms(RateLimitCodec.encode(limits, System.nanoTime())),
+                this::sendDemand));
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the lag", this::checkLag),
         LAG_CHECK_DELAY_MS,
@@ -243,6 +254,13 @@
         applyDesired(vm, StateCodec.decode(frame.getDesired()));
       } else if (frame.hasPartCrashes()) {
         proxy.crashReports().receive(CrashCodec.decode(frame.getPartCrashes(), System.nanoTime()));
+      } else if (frame.hasRateLimits()) {
+        proxy
+            .rateLimitReports()
+            .receive(RateLimitCodec.decode(frame.getRateLimits(), System.nanoTime()));
+      } else if (frame.hasPermitGrants()) {
+        leader = vm;
+        proxy.rateLimitReports().receiveGrants(RateLimitCodec.decode(frame.getPermitGrants()));
       }
     }
 
@@ -251,6 +269,7 @@
       log.write("control VM connected", "peer", vm);
       subscriptions.requestFullUpdate(vm);
       sendCrashRecords(vm);
+      sendRateLimits(vm);
     }
 
     @Override
@@ -267,6 +286,30 @@
     }
   }
 
+  /** Sends all limits of targets, as the control VM may have restarted and know none. */
+  private void sendRateLimits(String vm) {
+    List<RateLimit> limits = proxy.rateLimitReports().records();
+    if (!limits.isEmpty()) {
+      network.send(vm, RateLimitCodec.encode(limits, System.nanoTime()));
+    }
+  }
+
+  /** Sends this VM's demand to the control VM that granted permits last, or else to all. */
+  private void sendDemand(Map<String, Double> perSecond, List<Permits.Closed> closed) {
+    Frame frame = RateLimitCodec.encodeDemand(perSecond, closed);
+    boolean leaderKnown =
+        !leader.isEmpty()
+            && routing.permissions().hasContact(System.nanoTime())
+            && network.send(leader, frame);
+    if (!leaderKnown) {
+      sendToControlVms(frame);
+    }
+  }
+
+  private void sendToControlVms(Frame frame) {
+    network.peers().forEach(vm -> network.send(vm, frame));
+  }
+
   private void applyFleetUpdate(FleetUpdate update) {
     long now = System.nanoTime();
     if (update.getStatementsCount() > 0) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -167,7 +167,7 @@
   private void acceptHead(HttpResponse response) {
     head = response;
     lastProgressAt = System.nanoTime();
-    NoticeReader.read(context, target, response);
+    NoticeReader.read(context, target, sentAt, response);
     boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
     switch (readHead(response).use(streamRoute, exchange.sender().progress())) {
       case REFUSAL -> {
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.clementinesail.core.ratelimits.RateStatement;
 
 /** Reads and writes the header names and formats of callers and targets. */
 public interface Dialect {
@@ -76,6 +77,13 @@
    */
   OptionalDouble deferralSeconds(HttpResponse response);
 
+  /**
+   * Returns what an answer states about the rate of requests that its target takes.
+   *
+   * @param response head of the response, of any status
+   */
+  RateStatement rateStatement(HttpResponse response);
+
   /**
    * Sets the time after which the caller may retry.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -98,6 +98,7 @@
     workspace = resolved.workspace();
     partGuard.resolved(resolved.service(), resolved.workspace());
     context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
+    context.routing().demand().record(resolved.service().name(), resolvedAt);
     Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
     timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
@@ -127,7 +128,11 @@
       awaitingTarget = true;
       excludedTargets.clear();
     } else {
-      giveUp("no target is available", deferral.orElse(RetryAfter.SECONDS));
+      String reason =
+          deferral.isPresent()
+              ? "the targets take no more requests for now"
+              : "no target is available";
+      giveUp(reason, deferral.orElse(RetryAfter.SECONDS));
     }
   }
 
@@ -146,6 +151,7 @@
     ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
     FullHttpRequest request = TargetRequest.of(context.dialect(), head, body.bytes(), info);
     counts.recordSent();
+    context.routing().recordSent(choice.firstTarget(), System.nanoTime());
     partGuard.onSent();
     Attempt next = new Attempt(this, context, choice, route, model);
     attempt = next;
--- a/server/src/main/java/org/clementinesail/server/proxy/NoticeReader.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/NoticeReader.java
@@ -13,8 +13,13 @@
 
   private NoticeReader() {}
 
-  /** Reads the head of a target's answer, whatever its status. */
-  static void read(ProxyContext context, TargetStatement target, HttpResponse response) {
+  /**
+   * Reads the head of a target's answer, whatever its status.
+   *
+   * @param sentAt when the request was sent, in nanoseconds of the monotonic clock
+   */
+  static void read(
+      ProxyContext context, TargetStatement target, long sentAt, HttpResponse response) {
     if (context.dialect().isLeaving(response) && context.routing().fleet().recordLeaving(target)) {
       context.targetPool().closeIdle(target.address());
       context.log().write("target leaves", "target", target.id(), "address", target.address());
@@ -25,5 +30,6 @@
       context.routing().fleet().recordDeferral(target, System.nanoTime() + nanos);
       context.log().write("target defers", "target", target.id(), "seconds", seconds.getAsDouble());
     }
+    context.rateLimits().recordAnswer(target, context.dialect().rateStatement(response), sentAt);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
@@ -13,6 +13,7 @@
  * @param targetPool connections to targets
  * @param faults detects targets that stall or lose responses
  * @param crashes finds parts of requests that crash engines
+ * @param rateLimits exchanges the limits that targets name with other VMs
  * @param buffers limits the memory of incomplete bodies and events
  * @param startupWait how long requests wait for the first desired state
  * @param metrics receives the counters and latencies of requests
@@ -25,6 +26,7 @@
     TargetPool targetPool,
     FaultDetector faults,
     CrashReports crashes,
+    RateLimitReports rateLimits,
     BufferLimit buffers,
     StartupWait startupWait,
     ProxyMetrics metrics,
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -83,6 +83,7 @@
             pool,
             faults,
             new CrashReports(loop, faults, routing, log),
+            new RateLimitReports(loop, routing, log),
             new BufferLimit(),
             startupWait,
             metrics,
@@ -94,6 +95,11 @@
     return context.crashes();
   }
 
+  /** Returns what is known of the limits that targets name. */
+  public RateLimitReports rateLimitReports() {
+    return context.rateLimits();
+  }
+
   /**
    * Starts to accept connections. Blocks until the address is bound and throws the exception of a
    * failed bind, so it must not be called on the event loop.
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -23,6 +23,8 @@
 import org.clementinesail.core.paths.LocalLoad;
 import org.clementinesail.core.paths.PathPlanner;
 import org.clementinesail.core.paths.ServerPicker;
+import org.clementinesail.core.ratelimits.DemandMeter;
+import org.clementinesail.core.ratelimits.SendPermissions;
 import org.jspecify.annotations.Nullable;
 
 /** Desired state, fleet and this VM's load, by which it routes. Confined to the event loop. */
@@ -46,8 +48,15 @@
   /** Longest time over which the callers that are refused at once are spread at their return. */
   private static final double MAX_SPREAD_SECONDS = 2.5;
 
+  /** Shortest and longest delay of a caller whose request exceeds the limits of the targets. */
+  private static final double MIN_LIMITED_SECONDS = 0.5;
+
+  private static final double MAX_LIMITED_SECONDS = 10;
+
   private final Settings settings;
   private final Fleet fleet;
+  private final SendPermissions permissions;
+  private final DemandMeter demand = new DemandMeter();
   private final LocalLoad ownLoad = new LocalLoad();
   private final LinkLoad crossDataCentreLoad = new LinkLoad();
   private final LinkHealth linkHealth = new LinkHealth();
@@ -68,6 +77,7 @@
     this.settings = settings;
     this.random = random;
     this.fleet = new Fleet(settings.leaseNanos());
+    this.permissions = new SendPermissions(random);
     this.pathPlanner = new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, random);
     this.serverPicker = new ServerPicker(ownLoad, random);
   }
@@ -171,8 +181,9 @@
     PathPlanner.Requirements requirements =
         new PathPlanner.Requirements(
             estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
-    return pathPlanner.plan(
-        model, fleet.ready(service, now), requirements, excluded, trafficVms, now);
+    List<Fleet.Member> ready = fleet.ready(service, now);
+    Set<String> notFirst = withoutPermit(ready, now);
+    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, trafficVms, now);
   }
 
   /**
@@ -202,6 +213,7 @@
         .filter(member -> !member.isSuspect(now))
         .forEach(member -> ready.put(member.statement().id(), member));
     return Optional.ofNullable(ready.get(id))
+        .filter(member -> permissions.maySend(member.statement(), trafficVms, now))
         .filter(member -> path.stream().allMatch(hop -> ready.containsKey(hop.id())))
         .map(member -> new Destination(member, path));
   }
@@ -216,15 +228,65 @@
   }
 
   /**
-   * Returns in how many seconds the first of the targets that want no requests for a time takes
-   * them again, if none of the others can serve a request; empty otherwise.
+   * Returns in how many seconds a target of a service takes requests again, if some of its targets
+   * want none for a time or have reached their limits and no other can serve a request; empty
+   * otherwise.
    */
   OptionalDouble deferralSeconds(Service service, RequestMetadata metadata, long now) {
     OptionalLong until = fleet.deferredUntil(service.name(), now);
-    if (until.isEmpty() || chooseDestination(service, metadata, Set.of(), now).isPresent()) {
+    OptionalDouble limited = limitedSeconds(service.name(), now);
+    boolean deferred = until.isPresent() || limited.isPresent();
+    if (!deferred || chooseDestination(service, metadata, Set.of(), now).isPresent()) {
       return OptionalDouble.empty();
     }
-    return OptionalDouble.of((until.getAsLong() - now) / NANOS_PER_SECOND);
+    double seconds =
+        until.isPresent() ? (until.getAsLong() - now) / NANOS_PER_SECOND : Double.MAX_VALUE;
+    return OptionalDouble.of(Math.min(seconds, limited.orElse(Double.MAX_VALUE)));
+  }
+
+  /**
+   * Returns how many seconds the limited targets of a service need for what arrives in a second;
+   * empty unless some of them have reached their limits.
+   */
+  private OptionalDouble limitedSeconds(String service, long now) {
+    List<Fleet.Member> ready = fleet.ready(service, now);
+    if (withoutPermit(ready, now).isEmpty()) {
+      return OptionalDouble.empty();
+    }
+    double perSecond =
+        ready.stream()
+            .mapToDouble(m -> permissions.limitPerSecond(m.statement()).orElse(0.0))
+            .sum();
+    double seconds = demand.perSecond(service, now) * trafficVms / perSecond;
+    return OptionalDouble.of(Math.max(MIN_LIMITED_SECONDS, Math.min(MAX_LIMITED_SECONDS, seconds)));
+  }
+
+  /** Returns the targets that have reached their limits, as far as this VM may send to them. */
+  private Set<String> withoutPermit(List<Fleet.Member> ready, long now) {
+    Set<String> without = new HashSet<>();
+    if (permissions.hasLimits()) {
+      for (Fleet.Member member : ready) {
+        if (!permissions.maySend(member.statement(), trafficVms, now)) {
+          without.add(member.statement().id());
+        }
+      }
+    }
+    return without;
+  }
+
+  /** Returns the permissions to send to targets that limit their rate. */
+  public SendPermissions permissions() {
+    return permissions;
+  }
+
+  /** Returns the rates of requests by service. */
+  public DemandMeter demand() {
+    return demand;
+  }
+
+  /** Records that a request is sent to a target. */
+  void recordSent(Fleet.Member target, long now) {
+    permissions.recordSent(target.statement(), trafficVms, now);
   }
 
   /** Records a request sent to the engines of a path; returns the load added to each engine. */
@@ -269,7 +331,10 @@
 
   /** Returns a target of a service without engines, or empty if none is available. */
   private Optional<Fleet.Member> pickTarget(String service, Set<String> excluded, long now) {
-    return serverPicker.pick(fleet.ready(service, now), excluded, settings.dataCentre(), now);
+    List<Fleet.Member> ready = fleet.ready(service, now);
+    Set<String> avoided = withoutPermit(ready, now);
+    avoided.addAll(excluded);
+    return serverPicker.pick(ready, avoided, settings.dataCentre(), now);
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -49,6 +49,7 @@
             pool,
             faults,
             new CrashReports(loop, faults, routing, log),
+            new RateLimitReports(loop, routing, log),
             new BufferLimit(),
             new StartupWait(System.nanoTime()),
             new ProxyMetrics(),
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.clementinesail.core.placement.PlacementController.Order;
+import org.clementinesail.core.ratelimits.RateStatement;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
 class ShortHeaderDialect implements Dialect, EngineDialect {
@@ -88,6 +89,14 @@
         : OptionalDouble.empty();
   }
 
+  @Override
+  public RateStatement rateStatement(HttpResponse response) {
+    String value = response.headers().get("Limit");
+    return value == null
+        ? new RateStatement.Unlimited()
+        : new RateStatement.Limited(Double.parseDouble(value));
+  }
+
   @Override
   public void setRetryAfter(HttpHeaders headers, double seconds) {
     headers.set("Retry-After", seconds);
