--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -10,7 +10,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.EngineModel;
@@ -35,6 +34,7 @@
   private final PartGuard partGuard;
   private final ResponseSender sender;
   private final AttemptFailures failures;
+  private final TargetChooser chooser;
   private final AttemptCounts counts = new AttemptCounts();
   private final StalledAttempt stalled = new StalledAttempt(counts);
   private final Set<String> excludedTargets = new HashSet<>();
@@ -64,6 +64,7 @@
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
+    this.chooser = new TargetChooser(context, metadata, partGuard, excludedTargets);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
   }
@@ -111,28 +112,15 @@
       return;
     }
     long now = System.nanoTime();
-    OptionalDouble refusedSeconds = partGuard.refusedSeconds(now);
-    if (refusedSeconds.isPresent()) {
-      giveUp("the request or a part of it crashes targets", refusedSeconds.getAsDouble());
-      return;
-    }
-    var choice = context.routing().chooseDestination(chosen, metadata, excludedTargets, now);
-    if (choice.isPresent()) {
+    var decision = chooser.choose(chosen, progress().started(), resolvedAt, now);
+    if (decision instanceof TargetChooser.Send send) {
       awaitingTarget = false;
-      sendWithinBudget(choice.get(), chosen, false);
-      return;
-    }
-    var deferral = context.routing().deferralSeconds(chosen, metadata, now);
-    boolean mayWait = deferral.isEmpty() && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
-    if (progress().started() || mayWait) {
+      sendWithinBudget(send.destination(), chosen, false);
+    } else if (decision instanceof TargetChooser.GiveUp giveUp) {
+      giveUp(giveUp.reason(), giveUp.retryAfterSeconds());
+    } else {
       awaitingTarget = true;
       excludedTargets.clear();
-    } else {
-      String reason =
-          deferral.isPresent()
-              ? "the targets take no more requests for now"
-              : "no target is available";
-      giveUp(reason, deferral.orElse(RetryAfter.SECONDS));
     }
   }
 
