--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -30,6 +30,7 @@
 import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetPublisher;
 import org.clementinesail.server.fleet.HttpEndpoint;
+import org.clementinesail.server.fleet.PeerDirectory;
 import org.clementinesail.server.fleet.PermitCoordinator;
 import org.clementinesail.server.fleet.PlacementLoop;
 import org.clementinesail.server.logging.DecisionLog;
@@ -87,6 +88,7 @@
   private final FleetPublisher publisher;
   private final CrashRelay crashRelay;
   private final PermitCoordinator permits;
+  private final PeerDirectory peerDirectory;
   private @Nullable ReplicaDriver replica;
   private @Nullable DesiredState latestDesiredState;
   private String loggedRole = "";
@@ -120,7 +122,7 @@
             new SharedSecret(settings.peerSecret()),
             new FrameListener(),
             group);
-    this.subscriptions = new Subscriptions(network, false, () -> 0L);
+    this.subscriptions = new Subscriptions(network, () -> 0L, null);
     this.publisher =
         new FleetPublisher(
             loop,
@@ -131,6 +133,7 @@
             this::knowsLeader,
             log);
     this.crashRelay = new CrashRelay(loop, network, publisher::trafficVms);
+    this.peerDirectory = new PeerDirectory(network);
     this.permits =
         new PermitCoordinator(
             loop,
@@ -326,6 +329,7 @@
         driver.receive(ReplicaCodec.decode(frame.getReplica()));
       } else if (frame.hasSubscribe()) {
         publisher.onSubscribe(vm, frame.getSubscribe());
+        peerDirectory.onSubscribe(vm, frame.getSubscribe());
         if (frame.getSubscribe().getEverything() && frame.getSubscribe().getCarriesTraffic()) {
           crashRelay.sendAll(vm);
           permits.sendAll(vm);
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -37,6 +37,7 @@
 import org.clementinesail.wire.CrashCodec;
 import org.clementinesail.wire.PeerListener;
 import org.clementinesail.wire.PeerNetwork;
+import org.clementinesail.wire.PeerVmCodec;
 import org.clementinesail.wire.RateLimitCodec;
 import org.clementinesail.wire.SharedSecret;
 import org.clementinesail.wire.StateCodec;
@@ -142,7 +143,12 @@
         .sender(records -> sendToControlVms(CrashCodec.encode(records, System.nanoTime())));
     this.subscriptions =
         new Subscriptions(
-            network, true, () -> routing.desiredState().map(DesiredState::version).orElse(0L));
+            network,
+            () -> routing.desiredState().map(DesiredState::version).orElse(0L),
+            new Subscriptions.Relaying(
+                settings.peerAddress().getHostString() + ":" + settings.peerAddress().getPort(),
+                settings.dataCentre(),
+                () -> !proxy.peers().checks().reachability().cutOff().isEmpty()));
   }
 
   @Override
@@ -167,6 +173,8 @@
     proxy.listen(
         Objects.requireNonNull(
             settings.proxyAddress(), "an entry VM needs an address for callers"));
+    proxy.listenForPeers(settings.peerAddress());
+    proxy.peers().checks().start(loop, subscriptions::reportReachability);
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
       HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
@@ -258,6 +266,8 @@
         proxy
             .rateLimitReports()
             .receive(RateLimitCodec.decode(frame.getRateLimits(), System.nanoTime()));
+      } else if (frame.hasPeerVms()) {
+        proxy.peers().peers(PeerVmCodec.decode(frame.getPeerVms()));
       } else if (frame.hasPermitGrants()) {
         leader = vm;
         proxy.rateLimitReports().receiveGrants(RateLimitCodec.decode(frame.getPermitGrants()));
--- a/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -5,27 +5,47 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.proto.Frame;
 import org.clementinesail.wire.proto.Subscribe;
+import org.jspecify.annotations.Nullable;
 
 /** Keeps this VM connected and subscribed to all control VMs; must be used on the event loop. */
 final class Subscriptions {
   /** Interval of renewals; a control VM then sends a desired state that this VM has missed. */
   private static final long RENEW_INTERVAL_MS = 1_000;
 
+  /** Number of renewals to a control VM of which one asks for other VMs that carry traffic. */
+  private static final int PEER_LIST_RENEWALS = 20;
+
   private final PeerNetwork network;
-  private final boolean carriesTraffic;
   private final LongSupplier desiredVersion;
+  private final @Nullable Relaying relaying;
   private Set<String> seeds = Set.of();
   private Set<String> controlVms = Set.of();
+  private int renewals;
+
+  /**
+   * What a VM that carries traffic states of itself to others.
+   *
+   * @param address IP address and port where it takes requests of VMs that reach no target
+   * @param dataCentre its data centre
+   * @param cutOff whether it reaches no target of some service itself
+   */
+  record Relaying(String address, String dataCentre, BooleanSupplier cutOff) {}
 
-  Subscriptions(PeerNetwork network, boolean carriesTraffic, LongSupplier desiredVersion) {
+  /**
+   * Creates subscriptions.
+   *
+   * @param relaying what this VM states of itself, or null if it carries no traffic
+   */
+  Subscriptions(PeerNetwork network, LongSupplier desiredVersion, @Nullable Relaying relaying) {
     this.network = network;
-    this.carriesTraffic = carriesTraffic;
     this.desiredVersion = desiredVersion;
+    this.relaying = relaying;
   }
 
   void start(EventLoop loop) {
@@ -50,7 +70,13 @@
 
   /** Requests a full update on a new connection, as updates may have been lost with the old one. */
   void requestFullUpdate(String vm) {
-    network.send(vm, subscribeFrame(true));
+    network.send(vm, subscribeFrame(true, true));
+  }
+
+  /** Tells all control VMs at once that this VM is cut off, or is no more, and asks for others. */
+  void reportReachability() {
+    Frame frame = subscribeFrame(false, true);
+    network.peers().forEach(vm -> network.send(vm, frame));
   }
 
   private void connectToControlVms() {
@@ -61,17 +87,28 @@
 
   private void renew() {
     connectToControlVms();
-    Frame frame = subscribeFrame(false);
-    network.peers().forEach(vm -> network.send(vm, frame));
+    boolean cutOff = relaying != null && relaying.cutOff().getAsBoolean();
+    renewals++;
+    List<String> peers = List.copyOf(network.peers());
+    for (int i = 0; i < peers.size(); i++) {
+      boolean asked = (renewals + i) % PEER_LIST_RENEWALS == 0;
+      network.send(peers.get(i), subscribeFrame(false, cutOff || asked));
+    }
   }
 
-  private Frame subscribeFrame(boolean fullUpdate) {
-    return Frame.newBuilder()
-        .setSubscribe(
-            Subscribe.newBuilder()
-                .setDesiredVersion(desiredVersion.getAsLong())
-                .setEverything(fullUpdate)
-                .setCarriesTraffic(carriesTraffic))
-        .build();
+  private Frame subscribeFrame(boolean fullUpdate, boolean wantsPeers) {
+    Subscribe.Builder subscribe =
+        Subscribe.newBuilder()
+            .setDesiredVersion(desiredVersion.getAsLong())
+            .setEverything(fullUpdate);
+    if (relaying != null) {
+      subscribe
+          .setCarriesTraffic(true)
+          .setRelayAddress(relaying.address())
+          .setDataCentre(relaying.dataCentre())
+          .setCutOff(relaying.cutOff().getAsBoolean())
+          .setWantsPeers(wantsPeers);
+    }
+    return Frame.newBuilder().setSubscribe(subscribe).build();
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.Objects;
@@ -14,6 +12,7 @@
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.LocalLoad;
+import org.clementinesail.core.reachability.PeerVm;
 import org.clementinesail.core.responses.ResponseHead;
 import org.clementinesail.core.responses.ResponseProgress;
 import org.jspecify.annotations.Nullable;
@@ -54,6 +53,7 @@
   private final ProxyContext context;
   private final TargetStatement target;
   private final List<Hop> path;
+  private final @Nullable PeerVm peer;
   private final @Nullable Route route;
   private final @Nullable EngineModel model;
   private final EventSplitter splitter = new EventSplitter(this::onEvent);
@@ -82,6 +82,7 @@
     this.context = context;
     this.target = destination.firstTarget().statement();
     this.path = destination.path();
+    this.peer = destination.peer();
     this.route = route;
     this.model = model;
     this.reservation = context.buffers().reservation();
@@ -97,6 +98,16 @@
     return path;
   }
 
+  /** Returns the VM that serves the request in place of this one, or null. */
+  @Nullable PeerVm peer() {
+    return peer;
+  }
+
+  /** Returns the {@link System#nanoTime} of the last part of the response, or of the request. */
+  long lastProgressAt() {
+    return lastProgressAt;
+  }
+
   @Nullable Route route() {
     return route;
   }
@@ -124,6 +135,7 @@
         model == null || path.isEmpty()
             ? List.of(context.routing().ownLoad().assign(target.id(), 0, System.nanoTime()))
             : context.routing().recordAssignment(path, model, estimate);
+    context.peers().recordBegin(peer);
     TargetCall started =
         context.targetPool().send(target.address(), metadata.id(), request, maxIdleNanos, this);
     call = started;
@@ -150,6 +162,7 @@
   private void finish() {
     finished = true;
     assignments.forEach(a -> context.routing().ownLoad().release(a));
+    context.peers().recordEnd(peer);
     reservation.release();
     if (buffer != null) {
       buffer.release();
@@ -167,9 +180,17 @@
   private void acceptHead(HttpResponse response) {
     head = response;
     lastProgressAt = System.nanoTime();
-    NoticeReader.read(context, target, sentAt, response);
+    context.peers().recordHeard(this);
+    if (peer != null && RelayHeaders.isOfVm(response) && !RelayHeaders.isNotRun(response)) {
+      reportLostResponse(false, "another VM could not serve the request");
+      return;
+    }
     boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
-    switch (readHead(response).use(streamRoute, exchange.sender().progress())) {
+    ResponseHead read =
+        peer == null
+            ? HeadReader.ofTarget(context, target, sentAt, response)
+            : HeadReader.ofPeer(context, sentAt, response);
+    switch (read.use(streamRoute, exchange.sender().progress())) {
       case REFUSAL -> {
         mode = Mode.REFUSED;
         refusedAt = lastProgressAt;
@@ -186,16 +207,6 @@
     }
   }
 
-  private ResponseHead readHead(HttpResponse response) {
-    HttpHeaders headers = response.headers();
-    return new ResponseHead(
-        response.status().code(),
-        context.dialect().isRefusal(response),
-        context.dialect().hasTargetProof(response),
-        headers.get(HttpHeaderNames.CONTENT_TYPE),
-        headers.contains(HttpHeaderNames.CONTENT_ENCODING));
-  }
-
   @Override
   public void onContent(ByteBuf content) {
     if (!finished) {
@@ -206,6 +217,7 @@
   private void acceptContent(ByteBuf content) {
     HttpResponse response = head;
     ByteBuf buffered = buffer;
+    context.peers().recordHeard(this);
     if (mode == Mode.EVENTS) {
       onEventBytes(content);
       return;
@@ -314,7 +326,7 @@
       case PASSED_ON, AWAITING_HEAD -> {
         finish();
         exchange.onProgress(this);
-        exchange.completeResponse(response);
+        exchange.completeResponse(this, response);
       }
     }
   }
@@ -325,12 +337,12 @@
     finish();
     if (buffered == null) {
       exchange.onProgress(this);
-      exchange.completeResponse(response);
+      exchange.completeResponse(this, response);
     } else if (exchange.failures().retryAfterServerError(this, response)) {
       buffered.release();
     } else {
       exchange.onProgress(this);
-      exchange.sendWholeResponse(response, buffered);
+      exchange.sendWholeResponse(this, response, buffered);
     }
   }
 
@@ -344,7 +356,7 @@
       exchange.sender().sendComment(this, response, splitter.rest());
     }
     finish();
-    exchange.completeResponse(response);
+    exchange.completeResponse(this, response);
   }
 
   @Override
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptCounts.java
@@ -15,6 +15,7 @@
   /** Maximum number of attempts that dead targets add to the route's maximum. */
   private static final int MAX_EXTRA_ATTEMPTS = 2;
 
+  private final int earlierRuns;
   private int sentTotal;
   private int notSent;
   private int refusals;
@@ -23,6 +24,15 @@
   private final Set<String> deadTargets = new HashSet<>();
   private final Set<String> resentTo = new HashSet<>();
 
+  /**
+   * Creates counts without attempts.
+   *
+   * @param earlierRuns on how many targets the request may have run before this VM got it
+   */
+  AttemptCounts(int earlierRuns) {
+    this.earlierRuns = earlierRuns;
+  }
+
   /** Records the start of an attempt, even if nothing is sent in the end. */
   void recordSent() {
     sentTotal++;
@@ -33,6 +43,17 @@
     notSent++;
   }
 
+  int notSentCount() {
+    return notSent;
+  }
+
+  /** Returns on how many targets that have not ended the request may have run. */
+  int runningTargets() {
+    Set<String> running = new HashSet<>(targets.elementSet());
+    running.removeAll(deadTargets);
+    return running.size();
+  }
+
   /** Returns whether an attempt may have reached its target, which refused it or not. */
   boolean mayHaveArrived() {
     return sentTotal > notSent;
@@ -117,6 +138,6 @@
       return false;
     }
     int limit = route.maxAttempts() + Math.min(deadTargets.size(), MAX_EXTRA_ATTEMPTS);
-    return targetCount < limit && runs - resentTo.size() < limit;
+    return targetCount + earlierRuns < limit && runs + earlierRuns - resentTo.size() < limit;
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -35,6 +35,7 @@
     Optional<String> faulty = context.dialect().faultyAddress(response);
     faulty.ifPresent(
         address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
+    context.peers().recordFailure(from.peer());
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
@@ -42,6 +43,13 @@
     retryAfterRefusal(from, exchange.otherGoesOn(from, false), "targets refused the request");
   }
 
+  /** Checks whether this VM still reaches the service after a target has failed. */
+  private void checkReachability(Attempt from) {
+    if (from.peer() == null) {
+      context.peers().checks().check(from.target().service());
+    }
+  }
+
   /** Handles a failed connection: nothing of the request reached the target. */
   void onNotSent(Attempt from, String reason) {
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
@@ -54,6 +62,8 @@
       counts.recordDeadTarget(target);
     }
     context.faults().markSuspect(from.target().address(), reason);
+    context.peers().recordFailure(from.peer());
+    checkReachability(from);
     excludedTargets.add(target);
     retryAfterRefusal(from, otherGoesOn, "no target could be reached");
   }
@@ -102,8 +112,10 @@
       return;
     }
     excludedTargets.add(target);
-    if (!staleConnection) {
+    context.peers().recordFailure(from.peer());
+    if (!staleConnection && from.peer() == null) {
       context.faults().recordLostResponse(from.target());
+      checkReachability(from);
     }
     if (otherGoesOn) {
       partGuard.afterLoss(from, () -> {});
@@ -147,7 +159,8 @@
 
   /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
   boolean retryAfterServerError(Attempt from, HttpResponse response) {
-    if (response.status().codeClass() != HttpStatusClass.SERVER_ERROR) {
+    // Another VM has tried again already, if the route allows it.
+    if (response.status().codeClass() != HttpStatusClass.SERVER_ERROR || from.peer() != null) {
       return false;
     }
     String target = from.target().id();
--- a/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CrashReports.java
@@ -111,11 +111,7 @@
     long lostAt = System.nanoTime();
     OneTimeTask once = new OneTimeTask(next);
     loop.schedule(once, MAX_CONFIRM_MS, TimeUnit.MILLISECONDS);
-    Consumer<Boolean> onChecked =
-        ended -> {
-          recordIfEnded(loss, lostAt, ended);
-          once.run();
-        };
+    Consumer<Boolean> onChecked = ended -> recordIfEnded(loss, lostAt, ended, once);
     if (loss.engine()) {
       faults.checkEngine(loss.target(), onChecked);
     } else {
@@ -130,13 +126,22 @@
   void checkAfterSilence(Loss loss) {
     long lostAt = System.nanoTime();
     faults.checkListener(
-        loss.target(), MAX_RESULT_AGE_NANOS, ended -> recordIfEnded(loss, lostAt, ended));
+        loss.target(), MAX_RESULT_AGE_NANOS, ended -> recordIfEnded(loss, lostAt, ended, () -> {}));
   }
 
-  private void recordIfEnded(Loss loss, long lostAt, boolean ended) {
-    if (ended) {
-      recordCrash(loss.target(), loss.keys(), loss.sentAt(), lostAt);
+  /** Blames no target while this VM reaches none: its own links have failed. */
+  private void recordIfEnded(Loss loss, long lostAt, boolean ended, Runnable next) {
+    if (!ended) {
+      next.run();
+      return;
     }
+    faults.confirmLinks(
+        reached -> {
+          if (reached) {
+            recordCrash(loss.target(), loss.keys(), loss.sentAt(), lostAt);
+          }
+          next.run();
+        });
   }
 
   private void recordCrash(TargetStatement target, List<Long> keys, long sentAt, long lostAt) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Dialect.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.clementinesail.core.ratelimits.RateStatement;
+import org.jspecify.annotations.Nullable;
 
 /** Reads and writes the header names and formats of callers and targets. */
 public interface Dialect {
@@ -26,6 +27,23 @@
    */
   void prepareForTarget(HttpHeaders headers, ForwardingInfo forwarding);
 
+  /**
+   * Sets the headers for a VM that serves a request for this one; the caller's others stay.
+   *
+   * @param headers copy of the caller's headers without the hop-by-hop ones; changed in place
+   * @param timeoutMillis time left for the request, in milliseconds
+   * @param lastEventId event after which the stream is to continue, or null for a new stream
+   */
+  void prepareForPeer(HttpHeaders headers, long timeoutMillis, @Nullable String lastEventId);
+
+  /**
+   * Sets the id of the request that a response belongs to.
+   *
+   * @param headers headers of the response; changed in place
+   * @param requestId id of the request
+   */
+  void setRequestId(HttpHeaders headers, String requestId);
+
   /**
    * Returns whether a response states that the target has not run the request and never will.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -35,8 +35,8 @@
   private final ResponseSender sender;
   private final AttemptFailures failures;
   private final TargetChooser chooser;
-  private final AttemptCounts counts = new AttemptCounts();
-  private final StalledAttempt stalled = new StalledAttempt(counts);
+  private final AttemptCounts counts;
+  private final StalledAttempt stalled;
   private final Set<String> excludedTargets = new HashSet<>();
   private @Nullable Route route;
   private @Nullable Service service;
@@ -63,8 +63,10 @@
     this.receivedAt = receivedAt;
     this.metadata = context.dialect().readMetadata(head);
     this.log = new ExchangeLog(context.log(), metadata.id(), receivedAt);
+    this.counts = new AttemptCounts(context.relayed() ? RelayHeaders.earlierRuns(head) : 0);
+    this.stalled = new StalledAttempt(counts);
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
-    this.chooser = new TargetChooser(context, metadata, partGuard, excludedTargets);
+    this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
   }
@@ -137,7 +139,10 @@
   private void send(
       RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
     ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
-    FullHttpRequest request = TargetRequest.of(context.dialect(), head, body.bytes(), info);
+    FullHttpRequest request =
+        choice.peer() == null
+            ? TargetRequest.of(context, head, body.bytes(), info)
+            : TargetRequest.forPeer(context, head, body.bytes(), info, counts.runningTargets());
     counts.recordSent();
     context.routing().recordSent(choice.firstTarget(), System.nanoTime());
     partGuard.onSent();
@@ -157,7 +162,8 @@
       tryNextTarget();
     } else if (current != null) {
       current.endOverdueRefusal(now);
-      if (current == attempt && current.hasStalled(now)) {
+      if (current == attempt
+          && (current.hasStalled(now) || context.peers().isCutOff(current, now))) {
         tryOtherPath(current, now);
       }
     }
@@ -171,11 +177,11 @@
     }
     Set<String> suspects = context.faults().suspects(from.path());
     excludedTargets.addAll(suspects);
-    var choice = context.routing().acquireRetry(chosen, metadata, excludedTargets, now);
+    var choice = chooser.acquireRetry(chosen, now);
     if (choice.isEmpty()) {
       return;
     }
-    if (suspects.contains(from.target().id())) {
+    if (choice.get().peer() != null || suspects.contains(from.target().id())) {
       counts.recordDeadTarget(from.target().id());
     }
     log.pathSwitched("an engine on the path is at fault", progress().lastEventId());
@@ -220,20 +226,20 @@
   }
 
   /** Sends a response whose body is known completely; releases the body. */
-  void sendWholeResponse(HttpResponse response, ByteBuf content) {
+  void sendWholeResponse(Attempt from, HttpResponse response, ByteBuf content) {
     if (finished) {
       content.release();
       return;
     }
     partGuard.onAnswered(response.status());
-    sender.sendWhole(response, content);
+    sender.sendWhole(from, response, content);
     finish("answered");
   }
 
   /** Completes the response, or sends an empty one if no part was sent. */
-  void completeResponse(HttpResponse response) {
+  void completeResponse(Attempt from, HttpResponse response) {
     if (!progress().started()) {
-      sendWholeResponse(response, Unpooled.EMPTY_BUFFER);
+      sendWholeResponse(from, response, Unpooled.EMPTY_BUFFER);
     } else if (!finished) {
       partGuard.onAnswered(response.status());
       sender.end();
@@ -310,6 +316,10 @@
       return;
     }
     log.endedByProxy(outcome, routeName(), status, reason, counts);
+    if (context.relayed()) {
+      context.dialect().setRequestId(headers, metadata.id());
+      RelayHeaders.setOutcome(headers, counts.certainlyNotRun());
+    }
     if (progress().started()) {
       caller.abort();
     } else {
--- a/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/FaultDetector.java
@@ -29,15 +29,21 @@
   private final RoutingState routing;
   private final EngineProbe probe;
   private final ListenerCheck listenerCheck;
+  private final ReachabilityChecks checks;
   private final DecisionLog log;
   private final StallProbeScheduler probeScheduler = new StallProbeScheduler();
   private final LostAnswerDetector lostResponses = new LostAnswerDetector();
 
   FaultDetector(
-      RoutingState routing, EngineProbe probe, ListenerCheck listenerCheck, DecisionLog log) {
+      RoutingState routing,
+      EngineProbe probe,
+      ListenerCheck listenerCheck,
+      ReachabilityChecks checks,
+      DecisionLog log) {
     this.routing = routing;
     this.probe = probe;
     this.listenerCheck = listenerCheck;
+    this.checks = checks;
     this.log = log;
   }
 
@@ -106,7 +112,8 @@
     listenerCheck.check(
         target.address(),
         maxAgeNanos,
-        ended -> {
+        outcome -> {
+          boolean ended = outcome == ListenerCheck.Outcome.REFUSES;
           if (ended && !isSuspect(target.id())) {
             markSuspect(target.address(), "it refuses connections");
           }
@@ -114,11 +121,22 @@
         });
   }
 
+  /**
+   * Finds out whether this VM reaches any target, so that it can tell the end of one from a cut of
+   * its own links.
+   *
+   * @param onChecked receives whether it does
+   */
+  void confirmLinks(Consumer<Boolean> onChecked) {
+    checks.confirmAny(onChecked);
+  }
+
   private void onProbeResult(String id, EngineProbe.Result result) {
     long now = System.nanoTime();
     if (result instanceof EngineProbe.Failed failed) {
       log.write("engine silent", "target", id, "reason", failed.reason());
       routing.recordReport(failed.report(), now + SUSPECT_DURATION_NANOS);
+      routing.fleet().member(id).ifPresent(member -> checks.check(member.statement().service()));
     } else if (result instanceof EngineProbe.Reported reported) {
       routing.recordReport(reported.detail().report(), now);
       reported
--- a/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
@@ -18,11 +18,11 @@
 import java.util.function.Consumer;
 
 /**
- * Checks whether a target's process has ended, which its refusal of a connection shows. A target
- * that does not respond at all may only be cut off from this VM. Confined to the event loop.
+ * Checks whether a target accepts connections. A target that refuses them has ended; one that does
+ * not respond at all may only be cut off from this VM. Confined to the event loop.
  *
  * <pre>{@code
- * check.check("10.1.0.9:8080", 0, ended -> ...);
+ * check.check("10.1.0.9:8080", 0, outcome -> ...);
  * }</pre>
  */
 final class ListenerCheck {
@@ -42,7 +42,15 @@
   private final Map<String, PendingCheck> pending = new HashMap<>();
   private final Map<String, Verdict> verdicts = new HashMap<>();
 
-  private record Verdict(boolean ended, long at) {}
+  private record Verdict(Outcome outcome, long at) {}
+
+  /** What a target does with a connection. */
+  enum Outcome {
+    ACCEPTS,
+    REFUSES,
+    /** It does not respond, or resets each connection. */
+    UNRESPONSIVE
+  }
 
   /** Creates an instance that uses connections on an event loop. */
   ListenerCheck(EventLoop loop) {
@@ -64,13 +72,13 @@
    *
    * @param address IP address and port of the target
    * @param maxAgeNanos maximum age in nanoseconds of a result that is used again
-   * @param onResult receives on the event loop whether the target refuses connections
+   * @param onResult receives on the event loop what the target does
    */
-  void check(String address, long maxAgeNanos, Consumer<Boolean> onResult) {
+  void check(String address, long maxAgeNanos, Consumer<Outcome> onResult) {
     Verdict known = verdicts.get(address);
     PendingCheck started = pending.get(address);
     if (known != null && System.nanoTime() - known.at() < maxAgeNanos) {
-      onResult.accept(known.ended());
+      onResult.accept(known.outcome());
     } else if (started != null) {
       started.listeners.add(onResult);
     } else {
@@ -82,10 +90,10 @@
 
   private final class PendingCheck {
     private final String address;
-    private final List<Consumer<Boolean>> listeners = new ArrayList<>();
+    private final List<Consumer<Outcome>> listeners = new ArrayList<>();
     private int connects;
 
-    PendingCheck(String address, Consumer<Boolean> onResult) {
+    PendingCheck(String address, Consumer<Outcome> onResult) {
       this.address = address;
       this.listeners.add(onResult);
     }
@@ -103,7 +111,8 @@
         loop.schedule(() -> onStillOpen(open), MIN_OPEN_MS, TimeUnit.MILLISECONDS);
       } else {
         boolean timeout = done.cause() instanceof ConnectTimeoutException;
-        finish(done.cause() instanceof ConnectException && !timeout);
+        boolean refused = done.cause() instanceof ConnectException && !timeout;
+        finish(refused ? Outcome.REFUSES : Outcome.UNRESPONSIVE);
       }
     }
 
@@ -113,16 +122,16 @@
       if (closedByTarget && connects < MAX_CONNECTS) {
         connect();
       } else {
-        finish(false);
+        finish(closedByTarget ? Outcome.UNRESPONSIVE : Outcome.ACCEPTS);
       }
     }
 
-    private void finish(boolean ended) {
+    private void finish(Outcome outcome) {
       long now = System.nanoTime();
       pending.remove(address);
       verdicts.values().removeIf(verdict -> now - verdict.at() > RETENTION_NANOS);
-      verdicts.put(address, new Verdict(ended, now));
-      listeners.forEach(listener -> listener.accept(ended));
+      verdicts.put(address, new Verdict(outcome, now));
+      listeners.forEach(listener -> listener.accept(outcome));
     }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PartGuard.java
@@ -75,7 +75,7 @@
 
   /** Continues after a lost attempt, once it is known whether its target crashed. */
   void afterLoss(Attempt attempt, Runnable next) {
-    if (harmless || service == null) {
+    if (harmless || service == null || attempt.peer() != null) {
       next.run();
     } else {
       crashes.checkAfterLoss(loss(attempt), next);
@@ -84,7 +84,7 @@
 
   /** Called when the wait for an answer is over, before the request ends. */
   void afterSilence(Attempt attempt) {
-    if (!harmless && service != null && !runsOnEngines()) {
+    if (!harmless && service != null && !runsOnEngines() && attempt.peer() == null) {
       crashes.checkAfterSilence(loss(attempt));
     }
   }
--- /dev/null
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -0,0 +1,126 @@
+package org.clementinesail.server.proxy;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.clementinesail.core.desired.Service;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.reachability.PeerPicker;
+import org.clementinesail.core.reachability.PeerVm;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses other VMs that serve requests while this VM does not reach the targets. Confined to the
+ * event loop.
+ */
+public final class PeerRelay {
+  /** Failed connects of one request after which another VM gets it. */
+  private static final int MAX_FAILED_CONNECTS = 2;
+
+  private final PeerPicker peers;
+  private final ReachabilityChecks checks;
+
+  PeerRelay(PeerPicker peers, ReachabilityChecks checks) {
+    this.peers = peers;
+    this.checks = checks;
+  }
+
+  /**
+   * Replaces the known VMs.
+   *
+   * @param next VMs that reach their targets, as far as the control VMs know
+   */
+  public void peers(List<PeerVm> next) {
+    peers.peers(next);
+  }
+
+  /** Returns the checks of whether this VM reaches its targets. */
+  public ReachabilityChecks checks() {
+    return checks;
+  }
+
+  /** Returns whether this VM reaches no target of a service. */
+  boolean isCutOff(Service service) {
+    return checks.reachability().isCutOff(service.name());
+  }
+
+  /**
+   * Returns whether the target of an attempt is silent because this VM is cut off from its service.
+   * If no target of the service sends anything, checks whether it is.
+   */
+  boolean isCutOff(Attempt attempt, long now) {
+    String service = attempt.target().service();
+    if (attempt.peer() != null
+        || !checks.reachability().isSilent(service, attempt.lastProgressAt(), now)) {
+      return false;
+    }
+    checks.check(service);
+    return checks.reachability().isCutOff(service);
+  }
+
+  /** Records that a part of a response has arrived. */
+  void recordHeard(Attempt from) {
+    if (from.peer() == null) {
+      checks.reachability().recordHeard(from.target().service(), System.nanoTime());
+    }
+  }
+
+  /** Returns whether no other VM is known yet. */
+  boolean isEmpty() {
+    return peers.isEmpty();
+  }
+
+  /** Returns whether a request has failed to connect so often that another VM should get it. */
+  boolean isBetter(AttemptCounts counts) {
+    return counts.notSentCount() >= MAX_FAILED_CONNECTS;
+  }
+
+  /** Returns whether another VM may get a request for which this VM finds no target. */
+  boolean mayHelp(Service service, long now) {
+    return checks.reachability().isAffected(service.name(), now);
+  }
+
+  /** Returns another VM as the destination of a request, or empty if none is left. */
+  Optional<RoutingState.Destination> choose(Service service, Set<String> excluded, long now) {
+    return peers.pick(excluded, now).map(peer -> destination(service, peer, now));
+  }
+
+  private static RoutingState.Destination destination(Service service, PeerVm peer, long now) {
+    TargetStatement statement =
+        new TargetStatement(
+            peer.targetId(),
+            service.name(),
+            peer.address(),
+            peer.dataCentre(),
+            1,
+            TargetStatement.Phase.READY,
+            "",
+            null,
+            0,
+            0);
+    Fleet.Member member = new Fleet.Member(statement, now, null, now - 1, 0);
+    return new RoutingState.Destination(member, List.of(), peer);
+  }
+
+  /** Records that a VM could not serve a request; does nothing for a target. */
+  void recordFailure(@Nullable PeerVm peer) {
+    if (peer != null) {
+      peers.recordFailure(peer.name(), System.nanoTime());
+    }
+  }
+
+  /** Records that a VM gets a request; does nothing for a target. */
+  void recordBegin(@Nullable PeerVm peer) {
+    if (peer != null) {
+      peers.recordBegin(peer.name());
+    }
+  }
+
+  /** Records that a VM has a request no more; does nothing for a target. */
+  void recordEnd(@Nullable PeerVm peer) {
+    if (peer != null) {
+      peers.recordEnd(peer.name());
+    }
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
@@ -14,6 +14,8 @@
  * @param faults detects targets that stall or lose responses
  * @param crashes finds parts of requests that crash engines
  * @param rateLimits exchanges the limits that targets name with other VMs
+ * @param peers other VMs, which serve requests while this VM reaches no target
+ * @param relayed whether the requests come from other VMs, which this VM serves them for
  * @param buffers limits the memory of incomplete bodies and events
  * @param startupWait how long requests wait for the first desired state
  * @param metrics receives the counters and latencies of requests
@@ -27,7 +29,28 @@
     FaultDetector faults,
     CrashReports crashes,
     RateLimitReports rateLimits,
+    PeerRelay peers,
+    boolean relayed,
     BufferLimit buffers,
     StartupWait startupWait,
     ProxyMetrics metrics,
-    DecisionLog log) {}
+    DecisionLog log) {
+
+  /** Returns the same objects for requests that other VMs send. */
+  ProxyContext forRelayedRequests() {
+    return new ProxyContext(
+        loop,
+        dialect,
+        routing,
+        targetPool,
+        faults,
+        crashes,
+        rateLimits,
+        peers,
+        true,
+        buffers,
+        startupWait,
+        metrics,
+        log);
+  }
+}
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -15,10 +15,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
+import org.clementinesail.core.reachability.PeerPicker;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.logging.DecisionLog;
 import org.jspecify.annotations.Nullable;
@@ -49,7 +51,7 @@
   private final ProxyContext context;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
-  private @Nullable Channel serverChannel;
+  private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
   private @Nullable PlannedStop plannedStop;
 
   /**
@@ -74,7 +76,10 @@
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
-    FaultDetector faults = new FaultDetector(routing, probe, new ListenerCheck(loop), log);
+    // Of its own, so that no result of it is used to find out which target has ended.
+    ReachabilityChecks checks = new ReachabilityChecks(routing, new ListenerCheck(loop), log);
+    PeerPicker peers = new PeerPicker(routing.dataCentre(), routing.random());
+    FaultDetector faults = new FaultDetector(routing, probe, new ListenerCheck(loop), checks, log);
     this.context =
         new ProxyContext(
             loop,
@@ -83,7 +88,9 @@
             pool,
             faults,
             new CrashReports(loop, faults, routing, log),
-            new RateLimitReports(loop, routing, log),
+            new RateLimitReports(loop, routing, checks, log),
+            new PeerRelay(peers, checks),
+            false,
             new BufferLimit(),
             startupWait,
             metrics,
@@ -100,6 +107,11 @@
     return context.rateLimits();
   }
 
+  /** Returns the other VMs that serve requests while this VM reaches no target. */
+  public PeerRelay peers() {
+    return context.peers();
+  }
+
   /**
    * Starts to accept connections. Blocks until the address is bound and throws the exception of a
    * failed bind, so it must not be called on the event loop.
@@ -107,32 +119,7 @@
    * @param address address and port to listen on
    */
   public void listen(InetSocketAddress address) {
-    serverChannel =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.SO_BACKLOG, 512)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    int head = RequestLimits.DEFAULT.maxHeaderBytes();
-                    HttpDecoderConfig config =
-                        new HttpDecoderConfig()
-                            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                            .setMaxHeaderSize(head)
-                            .setValidateHeaders(false);
-                    channel.pipeline().addLast(new HttpServerCodec(config));
-                    channel.pipeline().addLast(new RequestHeadCheck());
-                    channel.pipeline().addLast(new CallerConnection(context, ProxyServer.this));
-                  }
-                })
-            .bind(address)
-            .syncUninterruptibly()
-            .channel();
+    serverChannels.add(bind(address, context));
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
         PROGRESS_CHECK_INTERVAL_MS,
@@ -145,6 +132,44 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Starts to accept requests of other VMs, which serve callers and reach no target. Blocks until
+   * the address is bound. Such a request is not passed on to a third VM.
+   *
+   * @param address address and port to listen on
+   */
+  public void listenForPeers(InetSocketAddress address) {
+    serverChannels.add(bind(address, context.forRelayedRequests()));
+  }
+
+  private Channel bind(InetSocketAddress address, ProxyContext requestContext) {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, 512)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                int head = RequestLimits.DEFAULT.maxHeaderBytes();
+                HttpDecoderConfig config =
+                    new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                        .setMaxHeaderSize(head)
+                        .setValidateHeaders(false);
+                channel.pipeline().addLast(new HttpServerCodec(config));
+                channel.pipeline().addLast(new RequestHeadCheck());
+                channel.pipeline().addLast(new CallerConnection(requestContext, ProxyServer.this));
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+
   /**
    * Sets {@code Connection: close} on all further responses and closes their connections, and
    * refuses late requests that may not end before the stop.
@@ -193,9 +218,7 @@
   }
 
   private void stopAccepting() {
-    if (serverChannel != null) {
-      serverChannel.close();
-    }
+    serverChannels.forEach(Channel::close);
   }
 
   private void checkProgress() {
--- a/server/src/main/java/org/clementinesail/server/proxy/RateLimitReports.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RateLimitReports.java
@@ -24,6 +24,7 @@
   private static final long REPORT_INTERVAL_MS = 250;
 
   private final RoutingState routing;
+  private final ReachabilityChecks checks;
   private final DecisionLog log;
   private final EventLoop loop;
   private Sender sender = new Sender(limits -> {}, (perSecond, closed) -> {});
@@ -49,9 +50,11 @@
    */
   public record Sender(Consumer<List<RateLimit>> limits, DemandSender demand) {}
 
-  RateLimitReports(EventLoop loop, RoutingState routing, DecisionLog log) {
+  RateLimitReports(
+      EventLoop loop, RoutingState routing, ReachabilityChecks checks, DecisionLog log) {
     this.loop = loop;
     this.routing = routing;
+    this.checks = checks;
     this.log = log;
   }
 
@@ -122,7 +125,10 @@
     if (permissions().hasLimits()) {
       long now = System.nanoTime();
       permissions().removeUnknown(id -> routing.fleet().member(id).isPresent());
-      sender.demand().send(routing.demand().rates(now), permissions().takeClosed(now));
+      Map<String, Double> demand = routing.demand().rates(now);
+      // Permits would be of no use for services that this VM does not reach.
+      checks.reachability().cutOff().forEach(demand::remove);
+      sender.demand().send(demand, permissions().takeClosed(now));
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.responses.ResponseProgress;
@@ -38,8 +39,16 @@
   }
 
   /** Sends a response whose body is known completely; releases the body. */
-  void sendWhole(HttpResponse head, ByteBuf body) {
-    caller.sendResponse(head.status(), HeaderCopies.ofResponse(head.headers()), body);
+  void sendWhole(Attempt from, HttpResponse head, ByteBuf body) {
+    caller.sendResponse(head.status(), headers(from, head), body);
+  }
+
+  private HttpHeaders headers(Attempt from, HttpResponse head) {
+    HttpHeaders headers = HeaderCopies.ofResponse(head.headers());
+    if (context.relayed()) {
+      RelayHeaders.setTarget(headers, from.target());
+    }
+    return headers;
   }
 
   /** Sends a whole event; the first one is preceded by the head. */
@@ -68,7 +77,7 @@
     if (progress.started()) {
       return;
     }
-    caller.begin(head.status(), HeaderCopies.ofResponse(head.headers()));
+    caller.begin(head.status(), headers(from, head));
     progress.recordHead(head.headers().get(HttpHeaderNames.CONTENT_TYPE));
     partGuard.onAnswerBegun(head.status());
     Route route = from.route();
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.desired.EngineModel;
@@ -25,6 +26,7 @@
 import org.clementinesail.core.paths.ServerPicker;
 import org.clementinesail.core.ratelimits.DemandMeter;
 import org.clementinesail.core.ratelimits.SendPermissions;
+import org.clementinesail.core.reachability.PeerVm;
 import org.jspecify.annotations.Nullable;
 
 /** Desired state, fleet and this VM's load, by which it routes. Confined to the event loop. */
@@ -102,6 +104,11 @@
     return true;
   }
 
+  /** Returns the data centre of this VM. */
+  String dataCentre() {
+    return settings.dataCentre();
+  }
+
   /** Returns the known targets, with their statements and reports. */
   public Fleet fleet() {
     return fleet;
@@ -191,8 +198,14 @@
    *
    * @param firstTarget target that the request is sent to
    * @param path engines that the request passes through; empty for a service without engines
+   * @param peer VM that chooses the target in place of this one, or null if this one does; then it
+   *     stands for the target
    */
-  record Destination(Fleet.Member firstTarget, List<Hop> path) {}
+  record Destination(Fleet.Member firstTarget, List<Hop> path, @Nullable PeerVm peer) {
+    Destination(Fleet.Member firstTarget, List<Hop> path) {
+      this(firstTarget, path, null);
+    }
+  }
 
   /** Returns the target for a request, or empty if none is available. */
   Optional<Destination> chooseDestination(
@@ -218,12 +231,14 @@
         .map(member -> new Destination(member, path));
   }
 
-  /** Takes a retry from the budget if there is one and a target; returns the target, or empty. */
-  Optional<Destination> acquireRetry(
-      Service service, RequestMetadata metadata, Set<String> excluded, long now) {
+  /**
+   * Takes a retry from the budget if there is one and a destination; returns the destination, or
+   * empty.
+   */
+  Optional<Destination> acquireRetry(Service service, Supplier<Optional<Destination>> choice) {
     RetryBudget budget = retryBudget(service.name());
     return budget.hasRetry()
-        ? chooseDestination(service, metadata, excluded, now).filter(d -> budget.tryAcquireRetry())
+        ? choice.get().filter(destination -> budget.tryAcquireRetry())
         : Optional.empty();
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.proxy;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.clementinesail.core.desired.Service;
@@ -9,6 +10,7 @@
   private final ProxyContext context;
   private final RequestMetadata metadata;
   private final PartGuard partGuard;
+  private final AttemptCounts counts;
   private final Set<String> excludedTargets;
 
   /** What happens next with a request. */
@@ -34,16 +36,19 @@
    * @param context shared objects of the server
    * @param metadata values of the request's headers
    * @param partGuard tells whether the request would crash targets
+   * @param counts counts of the request's attempts
    * @param excludedTargets ids of targets that do not get the request; changed by the caller
    */
   TargetChooser(
       ProxyContext context,
       RequestMetadata metadata,
       PartGuard partGuard,
+      AttemptCounts counts,
       Set<String> excludedTargets) {
     this.context = context;
     this.metadata = metadata;
     this.partGuard = partGuard;
+    this.counts = counts;
     this.excludedTargets = excludedTargets;
   }
 
@@ -61,15 +66,50 @@
       String reason = "the request or a part of it crashes targets";
       return new GiveUp(reason, refusedSeconds.getAsDouble());
     }
-    var choice = context.routing().chooseDestination(service, metadata, excludedTargets, now);
+    if (context.relayed() && context.peers().isCutOff(service)) {
+      return new GiveUp("this VM is cut off from the service too", RetryAfter.STOP_SECONDS);
+    }
+    Optional<RoutingState.Destination> choice = chooseDestination(service, now);
     return choice.isPresent()
         ? new Send(choice.get())
-        : withoutTarget(service, begun, resolvedAt, now);
+        : withoutDestination(service, begun, resolvedAt, now);
+  }
+
+  private Optional<RoutingState.Destination> chooseDestination(Service service, long now) {
+    if (isCutOff(service)) {
+      return choosePeer(service, now);
+    }
+    Optional<RoutingState.Destination> peer =
+        !context.relayed() && context.peers().isBetter(counts)
+            ? choosePeer(service, now)
+            : Optional.empty();
+    return peer.isPresent() ? peer : chooseTarget(service, now);
+  }
+
+  private boolean isCutOff(Service service) {
+    return !context.relayed() && context.peers().isCutOff(service);
+  }
+
+  private Optional<RoutingState.Destination> choosePeer(Service service, long now) {
+    return context.peers().choose(service, excludedTargets, now);
+  }
+
+  private Optional<RoutingState.Destination> chooseTarget(Service service, long now) {
+    var target = context.routing().chooseDestination(service, metadata, excludedTargets, now);
+    boolean peerMayHelp = !context.relayed() && context.peers().mayHelp(service, now);
+    return target.isEmpty() && peerMayHelp ? choosePeer(service, now) : target;
+  }
+
+  /** Takes a retry from the budget if there is one and a destination; returns the destination. */
+  Optional<RoutingState.Destination> acquireRetry(Service service, long now) {
+    return context.routing().acquireRetry(service, () -> chooseDestination(service, now));
   }
 
-  private Decision withoutTarget(Service service, boolean begun, long resolvedAt, long now) {
+  private Decision withoutDestination(Service service, boolean begun, long resolvedAt, long now) {
     OptionalDouble deferral = context.routing().deferralSeconds(service, metadata, now);
-    boolean mayWait = deferral.isEmpty() && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
+    boolean noPeerLeft = isCutOff(service) && !context.peers().isEmpty();
+    boolean mayWait =
+        deferral.isEmpty() && !noPeerLeft && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
     if (begun || mayWait) {
       return new Await();
     }
--- a/server/src/test/java/org/clementinesail/server/proxy/AttemptCountsTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/AttemptCountsTest.java
@@ -23,7 +23,7 @@
   @Test
   public void staleConnectionAddsNoTarget() {
     Route one = route(Route.Kind.IDEMPOTENT, 1);
-    AttemptCounts counts = new AttemptCounts();
+    AttemptCounts counts = new AttemptCounts(0);
     assertTrue(counts.mayResend(one, "a"));
     counts.recordPossibleRun("a");
     assertFalse(counts.mayTryAnother(one));
@@ -37,7 +37,7 @@
   @Test
   public void refusalAfterAStaleConnectionAddsNoTarget() {
     Route two = route(Route.Kind.IDEMPOTENT, 2);
-    AttemptCounts counts = new AttemptCounts();
+    AttemptCounts counts = new AttemptCounts(0);
     counts.recordPossibleRun("a");
     counts.recordResend("a");
     counts.recordRefusal();
@@ -49,7 +49,7 @@
   @Test
   public void unrepeatableRequestIsNotSentAgain() {
     Route once = route(Route.Kind.NON_IDEMPOTENT, 3);
-    AttemptCounts counts = new AttemptCounts();
+    AttemptCounts counts = new AttemptCounts(0);
     assertTrue(counts.mayTryAnother(once));
     assertFalse(counts.mayResend(once, "a"));
     assertFalse(counts.mayRetry(once, "a"));
@@ -61,7 +61,7 @@
   @Test
   public void deadTargetsMakeRoomTwice() {
     Route one = route(Route.Kind.IDEMPOTENT, 1);
-    AttemptCounts counts = new AttemptCounts();
+    AttemptCounts counts = new AttemptCounts(0);
     int runs = 0;
     while (counts.mayTryAnother(one) && runs < 10) {
       String target = "t" + runs++;
@@ -83,7 +83,7 @@
     Route route = route(Route.Kind.IDEMPOTENT, maxAttempts);
     for (int seed = 0; seed < 1_000; seed++) {
       Random random = new Random(seed);
-      AttemptCounts counts = new AttemptCounts();
+      AttemptCounts counts = new AttemptCounts(0);
       Set<String> ran = new HashSet<>();
       int runs = 0;
       while (counts.mayTryAnother(route) && !counts.refusalLimitReached()) {
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -18,8 +18,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.limits.StartupWait;
+import org.clementinesail.core.reachability.PeerPicker;
 import org.clementinesail.server.logging.DecisionLog;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -38,9 +40,11 @@
     DecisionLog log = new DecisionLog("test", out);
     ShortHeaderDialect dialect = dialect();
     TargetPool pool = new TargetPool(loop, dialect, log);
+    ListenerCheck listenerCheck = new ListenerCheck(loop);
+    ReachabilityChecks checks = new ReachabilityChecks(routing, listenerCheck, log);
     FaultDetector faults =
         new FaultDetector(
-            routing, new EngineProbe(loop, pool, dialect), new ListenerCheck(loop), log);
+            routing, new EngineProbe(loop, pool, dialect), listenerCheck, checks, log);
     ProxyContext context =
         new ProxyContext(
             loop,
@@ -49,7 +53,9 @@
             pool,
             faults,
             new CrashReports(loop, faults, routing, log),
-            new RateLimitReports(loop, routing, log),
+            new RateLimitReports(loop, routing, checks, log),
+            new PeerRelay(new PeerPicker("a", new Random(1)), checks),
+            false,
             new BufferLimit(),
             new StartupWait(System.nanoTime()),
             new ProxyMetrics(),
--- a/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
@@ -45,11 +45,13 @@
     routing = new RoutingState(settings, new Random(1));
     DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
     TargetPool pool = new TargetPool(loop, new ShortHeaderDialect(), log);
+    ListenerCheck listenerCheck = new ListenerCheck(loop);
     faults =
         new FaultDetector(
             routing,
             new EngineProbe(loop, pool, new IdleEngineDialect()),
-            new ListenerCheck(loop),
+            listenerCheck,
+            new ReachabilityChecks(routing, listenerCheck, log),
             log);
     first = new ScriptedTarget();
     second = new ScriptedTarget();
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.clementinesail.core.placement.PlacementController.Order;
 import org.clementinesail.core.ratelimits.RateStatement;
+import org.jspecify.annotations.Nullable;
 
 /** Test implementation with short header names such as "Id" and "After"; has no engines. */
 class ShortHeaderDialect implements Dialect, EngineDialect {
@@ -49,6 +50,20 @@
     }
   }
 
+  @Override
+  public void prepareForPeer(
+      HttpHeaders headers, long timeoutMillis, @Nullable String lastEventId) {
+    headers.set("Timeout-Ms", timeoutMillis);
+    if (lastEventId != null) {
+      headers.set("After", lastEventId);
+    }
+  }
+
+  @Override
+  public void setRequestId(HttpHeaders headers, String requestId) {
+    headers.set("Id", requestId);
+  }
+
   @Override
   public boolean isRefusal(HttpResponse response) {
     return response.headers().contains("Not-Started");
