--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -43,6 +43,7 @@
 import org.clementinesail.wire.StateCodec;
 import org.clementinesail.wire.proto.FleetUpdate;
 import org.clementinesail.wire.proto.Frame;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An entry VM: accepts callers' requests, and receives the desired state and the fleet from the
@@ -146,11 +147,15 @@
             network,
             () -> routing.desiredState().map(DesiredState::version).orElse(0L),
             new Subscriptions.Relaying(
-                settings.peerAddress().getHostString() + ":" + settings.peerAddress().getPort(),
+                hostAndPort(settings.relayAddress()),
                 settings.dataCentre(),
                 () -> !proxy.peers().checks().reachability().cutOff().isEmpty()));
   }
 
+  private static String hostAndPort(@Nullable InetSocketAddress address) {
+    return address == null ? "" : address.getHostString() + ":" + address.getPort();
+  }
+
   @Override
   public void start() {
     network.start();
@@ -173,7 +178,10 @@
     proxy.listen(
         Objects.requireNonNull(
             settings.proxyAddress(), "an entry VM needs an address for callers"));
-    proxy.listenForPeers(settings.peerAddress());
+    InetSocketAddress relay = settings.relayAddress();
+    if (relay != null) {
+      proxy.listenForPeers(relay);
+    }
     proxy.peers().checks().start(loop, subscriptions::reportReachability);
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
--- a/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
@@ -17,6 +17,8 @@
  * @param dataFolder folder for stored state; required on a control VM, null on a VM without a disk
  * @param proxyAddress address that accepts callers; required on an entry VM, otherwise may be null
  * @param readyAddress address of readiness checks and metrics, or null for none
+ * @param relayAddress address where an entry VM takes requests of other entry VMs that reach no
+ *     target, or null for none
  * @param apiAddress address that accepts targets and operators; required on a control VM, otherwise
  *     may be null
  * @param heartbeatMillis interval between two heartbeats of a target, in milliseconds
@@ -35,6 +37,7 @@
     @Nullable Path dataFolder,
     @Nullable InetSocketAddress proxyAddress,
     @Nullable InetSocketAddress readyAddress,
+    @Nullable InetSocketAddress relayAddress,
     @Nullable InetSocketAddress apiAddress,
     long heartbeatMillis,
     long graceMillis,
--- a/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -31,7 +31,8 @@
   /**
    * What a VM that carries traffic states of itself to others.
    *
-   * @param address IP address and port where it takes requests of VMs that reach no target
+   * @param address IP address and port where it takes requests of VMs that reach no target; empty
+   *     if it takes none
    * @param dataCentre its data centre
    * @param cutOff whether it reaches no target of some service itself
    */
