--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -140,9 +140,8 @@
       RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
     ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
     FullHttpRequest request =
-        choice.peer() == null
-            ? TargetRequest.of(context, head, body.bytes(), info)
-            : TargetRequest.forPeer(context, head, body.bytes(), info, counts.runningTargets());
+        TargetRequest.of(context, choice, head, body.bytes(), info, counts.runningTargets());
+    log.sentTo(choice);
     counts.recordSent();
     context.routing().recordSent(choice.firstTarget(), System.nanoTime());
     partGuard.onSent();
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.reachability.PeerVm;
 import org.clementinesail.server.logging.DecisionLog;
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +22,21 @@
     log.write("moved", "request", requestId, "reason", reason, "after_event", lastEventId);
   }
 
+  /** Logs that a request is sent to another VM; a target is logged only if something goes wrong. */
+  void sentTo(RoutingState.Destination destination) {
+    PeerVm peer = destination.peer();
+    if (peer != null) {
+      log.write(
+          "passed to another VM",
+          "request",
+          requestId,
+          "peer",
+          peer.name(),
+          "after_ms",
+          ageMillis());
+    }
+  }
+
   void refusedByTarget(String target, int status, String faultyAddress) {
     log.write(
         "refused by target",
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
@@ -11,36 +11,32 @@
 final class TargetRequest {
   private TargetRequest() {}
 
-  /** Returns the caller's request with headers for the target; the body is shared, not copied. */
-  static FullHttpRequest of(
-      ProxyContext context, HttpRequest head, ByteBuf body, ForwardingInfo forwarding) {
-    HttpHeaders headers = HeaderCopies.ofRequest(head.headers(), body.readableBytes());
-    context.dialect().prepareForTarget(headers, forwarding);
-    if (context.relayed()) {
-      RelayHeaders.removeFrom(headers);
-    }
-    return request(head, body, headers);
-  }
-
   /**
-   * Returns the caller's request with headers for another VM; the body is shared, not copied.
+   * Returns the caller's request with the headers for its destination; the body is shared, not
+   * copied.
    *
    * @param earlierRuns on how many targets the request may have run before
    */
-  static FullHttpRequest forPeer(
+  static FullHttpRequest of(
       ProxyContext context,
+      RoutingState.Destination destination,
       HttpRequest head,
       ByteBuf body,
       ForwardingInfo forwarding,
       int earlierRuns) {
     HttpHeaders headers = HeaderCopies.ofRequest(head.headers(), body.readableBytes());
-    context.dialect().prepareForPeer(headers, forwarding.timeoutMillis(), forwarding.lastEventId());
-    RelayHeaders.removeFrom(headers);
-    RelayHeaders.setEarlierRuns(headers, earlierRuns);
-    return request(head, body, headers);
-  }
-
-  private static FullHttpRequest request(HttpRequest head, ByteBuf body, HttpHeaders headers) {
+    if (destination.peer() != null) {
+      context
+          .dialect()
+          .prepareForPeer(headers, forwarding.timeoutMillis(), forwarding.lastEventId());
+      RelayHeaders.removeFrom(headers);
+      RelayHeaders.setEarlierRuns(headers, earlierRuns);
+    } else {
+      context.dialect().prepareForTarget(headers, forwarding);
+      if (context.relayed()) {
+        RelayHeaders.removeFrom(headers);
+      }
+    }
     return new DefaultFullHttpRequest(
         HttpVersion.HTTP_1_1,
         head.method(),
--- a/server/src/test/java/org/clementinesail/server/proxy/AttemptCountsTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/AttemptCountsTest.java
@@ -45,6 +45,17 @@
     assertFalse(counts.mayRetry(two, "b"));
   }
 
+  /** Targets that ran a request for another VM count against the attempts of the route. */
+  @Test
+  public void earlierRunsAddNoAttempts() {
+    Route two = route(Route.Kind.IDEMPOTENT, 2);
+    assertTrue(new AttemptCounts(0).mayRetry(two, "a"));
+    assertFalse(new AttemptCounts(1).mayRetry(two, "a"));
+    AttemptCounts counts = new AttemptCounts(1);
+    counts.recordPossibleRun("a");
+    assertFalse(counts.mayTryAnother(two));
+  }
+
   /** Requests that may run once are not sent again. */
   @Test
   public void unrepeatableRequestIsNotSentAgain() {
