Count only VMs that reach targets in the planning of paths, and check all services at once

Cause: a planner multiplies its unreported requests by the number of all VMs, though a few send them all now; and a cut was noticed service by service, by the requests for it. Change: control VMs say how many VMs reach targets. A VM that is cut off from one service takes the others for cut off, too, while it checks them; connects in progress are given up at once.

--- a/core/src/main/java/org/clementinesail/core/reachability/ServiceReachability.java
+++ b/core/src/main/java/org/clementinesail/core/reachability/ServiceReachability.java
@@ -115,6 +115,15 @@
     return before != state.cutOff;
   }
 
+  /**
+   * Takes a service for unreachable while it is checked, because this VM is cut off from another.
+   *
+   * @param service name of the service, of which a check is in progress
+   */
+  public void presumeCutOff(String service) {
+    state(service).cutOff = true;
+  }
+
   /**
    * Records that bytes of a target have arrived.
    *
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
@@ -50,6 +51,7 @@
   private final Supplier<Set<String>> controlVms;
   private final BooleanSupplier isLeader;
   private final BooleanSupplier leaderKnown;
+  private final IntSupplier cutOffVms;
   private final DecisionLog log;
   private final FleetUpdateReader updateReader;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
@@ -87,6 +89,7 @@
    * @param isLeader whether this VM leads
    * @param leaderKnown whether this VM knows a leader; without one its desired state may be
    *     outdated
+   * @param cutOffVms how many of the VMs that carry traffic reach no target of some service
    * @param log log of changes in the state of targets
    */
   public FleetPublisher(
@@ -96,6 +99,7 @@
       Supplier<Set<String>> controlVms,
       BooleanSupplier isLeader,
       BooleanSupplier leaderKnown,
+      IntSupplier cutOffVms,
       DecisionLog log) {
     this.loop = loop;
     this.network = network;
@@ -103,6 +107,7 @@
     this.controlVms = controlVms;
     this.isLeader = isLeader;
     this.leaderKnown = leaderKnown;
+    this.cutOffVms = cutOffVms;
     this.log = log;
     this.updateReader = new FleetUpdateReader(log);
   }
@@ -318,8 +323,10 @@
   }
 
   private FleetUpdate.Builder newUpdate() {
+    int trafficVms = trafficVms().size();
     return FleetUpdate.newBuilder()
-        .setTrafficVms(trafficVms().size())
+        .setTrafficVms(trafficVms)
+        .setSendingVms(Math.max(1, trafficVms - cutOffVms.getAsInt()))
         .addAllControlVms(new HashSet<>(controlVms.get()));
   }
 
--- a/server/src/main/java/org/clementinesail/server/fleet/PeerDirectory.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/PeerDirectory.java
@@ -55,8 +55,18 @@
     }
   }
 
-  private List<PeerVm> others(String vm, long now) {
+  /** Returns how many VMs state that they reach no target of some service. */
+  public int cutOffCount() {
+    removeOutdated(System.nanoTime());
+    return (int) entries.values().stream().filter(Entry::cutOff).count();
+  }
+
+  private void removeOutdated(long now) {
     entries.values().removeIf(entry -> now - entry.heardAt() > VALID_NANOS);
+  }
+
+  private List<PeerVm> others(String vm, long now) {
+    removeOutdated(now);
     List<PeerVm> others = new ArrayList<>();
     entries.forEach(
         (name, entry) -> {
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -123,6 +123,7 @@
             new FrameListener(),
             group);
     this.subscriptions = new Subscriptions(network, () -> 0L, null);
+    this.peerDirectory = new PeerDirectory(network);
     this.publisher =
         new FleetPublisher(
             loop,
@@ -131,9 +132,9 @@
             this::controlVms,
             this::isLeader,
             this::knowsLeader,
+            peerDirectory::cutOffCount,
             log);
     this.crashRelay = new CrashRelay(loop, network, publisher::trafficVms);
-    this.peerDirectory = new PeerDirectory(network);
     this.permits =
         new PermitCoordinator(
             loop,
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -343,6 +343,7 @@
         report -> routing.recordReport(report, suspectUntil));
     if (update.getTrafficVms() > 0) {
       routing.trafficVms(update.getTrafficVms());
+      routing.sendingVms(update.getSendingVms());
     }
     subscriptions.updateControlVms(update.getControlVmsList());
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -270,9 +270,11 @@
     lastProgressAt = now;
   }
 
-  /** Ends a refusal whose body does not end, and with it the connection. */
-  void endOverdueRefusal(long now) {
-    if (mode == Mode.REFUSED && !finished && now - refusedAt > MAX_REFUSAL_NANOS) {
+  /** Ends a refusal whose body does not end, and a connect while this VM is cut off. */
+  void checkProgress(long now) {
+    if (!finished && context.peers().isCutOff(this) && call != null && call.cancelUnsent()) {
+      acceptFailure(FailureKind.NOT_SENT, "this VM is cut off from the service");
+    } else if (mode == Mode.REFUSED && !finished && now - refusedAt > MAX_REFUSAL_NANOS) {
       endRefusal();
     }
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -160,9 +160,9 @@
     } else if (awaitingTarget) {
       tryNextTarget();
     } else if (current != null) {
-      current.endOverdueRefusal(now);
+      current.checkProgress(now);
       if (current == attempt
-          && (current.hasStalled(now) || context.peers().isCutOff(current, now))) {
+          && (current.hasStalled(now) || context.peers().isSilenced(current, now))) {
         tryOtherPath(current, now);
       }
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ListenerCheck.java
@@ -26,7 +26,8 @@
  * }</pre>
  */
 final class ListenerCheck {
-  private static final int CONNECT_TIMEOUT_MS = 500;
+  /** Timeout of connects; many round trips between the data centres of a site. */
+  static final int CONNECT_TIMEOUT_MS = 500;
 
   /** A process that is ending may accept a connection and reset it as it closes its port. */
   private static final long MIN_OPEN_MS = 10;
@@ -52,14 +53,18 @@
     UNRESPONSIVE
   }
 
-  /** Creates an instance that uses connections on an event loop. */
-  ListenerCheck(EventLoop loop) {
+  /**
+   * Creates an instance that uses connections on an event loop.
+   *
+   * @param connectTimeoutMillis time after which a target is unresponsive, in milliseconds
+   */
+  ListenerCheck(EventLoop loop, int connectTimeoutMillis) {
     this.loop = loop;
     this.bootstrap =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -45,11 +45,16 @@
     return checks.reachability().isCutOff(service.name());
   }
 
+  /** Returns whether an attempt is one at a target of a service that this VM is cut off from. */
+  boolean isCutOff(Attempt attempt) {
+    return attempt.peer() == null && checks.reachability().isCutOff(attempt.target().service());
+  }
+
   /**
    * Returns whether the target of an attempt is silent because this VM is cut off from its service.
    * If no target of the service sends anything, checks whether it is.
    */
-  boolean isCutOff(Attempt attempt, long now) {
+  boolean isSilenced(Attempt attempt, long now) {
     String service = attempt.target().service();
     if (attempt.peer() != null
         || !checks.reachability().isSilent(service, attempt.lastProgressAt(), now)) {
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -76,10 +76,10 @@
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
-    // Of its own, so that no result of it is used to find out which target has ended.
-    ReachabilityChecks checks = new ReachabilityChecks(routing, new ListenerCheck(loop), log);
+    ListenerCheck listenerCheck = new ListenerCheck(loop, ListenerCheck.CONNECT_TIMEOUT_MS);
+    ReachabilityChecks checks = new ReachabilityChecks(routing, loop, log);
     PeerPicker peers = new PeerPicker(routing.dataCentre(), routing.random());
-    FaultDetector faults = new FaultDetector(routing, probe, new ListenerCheck(loop), checks, log);
+    FaultDetector faults = new FaultDetector(routing, probe, listenerCheck, checks, log);
     this.context =
         new ProxyContext(
             loop,
--- a/server/src/main/java/org/clementinesail/server/proxy/ReachabilityChecks.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ReachabilityChecks.java
@@ -29,7 +29,10 @@
    * A check that ends later than this says nothing about the targets: the process did not get
    * enough processor time.
    */
-  private static final long MAX_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  private static final long MAX_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Timeout of connects; callers wait meanwhile. */
+  private static final int CONNECT_TIMEOUT_MS = 300;
 
   private final RoutingState routing;
   private final ListenerCheck listenerCheck;
@@ -38,9 +41,10 @@
   private final Map<String, PendingCheck> pending = new HashMap<>();
   private Runnable onChange = () -> {};
 
-  ReachabilityChecks(RoutingState routing, ListenerCheck listenerCheck, DecisionLog log) {
+  ReachabilityChecks(RoutingState routing, EventLoop loop, DecisionLog log) {
     this.routing = routing;
-    this.listenerCheck = listenerCheck;
+    // Of its own, so that no result of it is used to find out which target has ended.
+    this.listenerCheck = new ListenerCheck(loop, CONNECT_TIMEOUT_MS);
     this.log = log;
   }
 
@@ -70,12 +74,26 @@
 
   /** Starts a check of a service unless one was made just now. */
   void check(String service) {
+    startCheck(service, () -> {});
+  }
+
+  /** Takes other services for unreachable, too, until a check has shown whether they are. */
+  private void checkOthers(String service) {
+    for (String other : services()) {
+      if (!other.equals(service) && !reachability.isCutOff(other)) {
+        startCheck(other, () -> reachability.presumeCutOff(other));
+      }
+    }
+  }
+
+  private void startCheck(String service, Runnable onStart) {
     long now = System.nanoTime();
     List<Fleet.Member> ready = routing.fleet().ready(service, now);
     List<TargetStatement> targets = reachability.startCheck(service, ready, now);
     if (!targets.isEmpty()) {
       PendingCheck started = new PendingCheck(service, targets, now);
       pending.put(service, started);
+      onStart.run();
       started.connect();
     }
   }
@@ -101,9 +119,13 @@
    * @param onChecked receives whether it does
    */
   void confirmAny(Consumer<Boolean> onChecked) {
+    confirmAny(services().iterator(), onChecked);
+  }
+
+  private Set<String> services() {
     Set<String> services = new LinkedHashSet<>();
     routing.fleet().members().forEach(member -> services.add(member.statement().service()));
-    confirmAny(services.iterator(), onChecked);
+    return services;
   }
 
   private void confirmAny(Iterator<String> services, Consumer<Boolean> onChecked) {
@@ -170,6 +192,9 @@
             "after_ms",
             TimeUnit.NANOSECONDS.toMillis(now - startedAt));
         onChange.run();
+        if (reachability.isCutOff(service)) {
+          checkOthers(service);
+        }
       }
       boolean reached = !reachability.isCutOff(service);
       listeners.forEach(listener -> listener.accept(reached));
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -68,6 +68,7 @@
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private @Nullable DesiredState desiredState;
   private int trafficVms = 1;
+  private int sendingVms;
 
   /**
    * Creates a state without a desired state and without targets.
@@ -156,6 +157,15 @@
     }
   }
 
+  /**
+   * Sets how many of the VMs that carry traffic send requests to targets; the others reach none.
+   *
+   * @param vms number of VMs; 0 if it is not known
+   */
+  public void sendingVms(int vms) {
+    sendingVms = vms;
+  }
+
   /** Returns how many VMs carry traffic, as far as this VM knows; at least 1. */
   int trafficVms() {
     return trafficVms;
@@ -190,7 +200,8 @@
             estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
     List<Fleet.Member> ready = fleet.ready(service, now);
     Set<String> notFirst = withoutPermit(ready, now);
-    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, trafficVms, now);
+    int vms = sendingVms > 0 ? sendingVms : trafficVms;
+    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetCall.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetCall.java
@@ -6,6 +6,11 @@
   /** Closes the connection; the listener is not called any more. */
   void cancel();
 
+  /** Cancels the call if nothing of it was sent yet; returns whether it did. */
+  default boolean cancelUnsent() {
+    return false;
+  }
+
   /**
    * Pauses or resumes reading the response, for backpressure.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -240,6 +240,13 @@
       }
     }
 
+    @Override
+    public boolean cancelUnsent() {
+      boolean unsent = call == null && !cancelled;
+      cancelled |= unsent;
+      return unsent;
+    }
+
     @Override
     public void setReading(boolean reading) {
       if (call != null) {
--- a/server/src/test/java/org/clementinesail/server/fleet/FleetPublisherTest.java
+++ b/server/src/test/java/org/clementinesail/server/fleet/FleetPublisherTest.java
@@ -48,6 +48,7 @@
             Set::of,
             () -> true,
             () -> true,
+            () -> 0,
             new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream())));
     List<String> order = new CopyOnWriteArrayList<>();
     CountDownLatch done = new CountDownLatch(1);
@@ -88,6 +89,7 @@
             },
             () -> true,
             () -> true,
+            () -> 0,
             new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream())));
     loop.execute(() -> publisher.onReport(EngineReport.unreachable("e", System.nanoTime()), 0));
     publisher.start();
@@ -111,6 +113,7 @@
             Set::of,
             () -> true,
             () -> true,
+            () -> 0,
             new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream())));
     StatementImage sound = FleetCodec.encode(statement("t1", "10.0.0.1:80"), 0, 0);
     FleetUpdate update =
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -40,8 +40,8 @@
     DecisionLog log = new DecisionLog("test", out);
     ShortHeaderDialect dialect = dialect();
     TargetPool pool = new TargetPool(loop, dialect, log);
-    ListenerCheck listenerCheck = new ListenerCheck(loop);
-    ReachabilityChecks checks = new ReachabilityChecks(routing, listenerCheck, log);
+    ListenerCheck listenerCheck = new ListenerCheck(loop, ListenerCheck.CONNECT_TIMEOUT_MS);
+    ReachabilityChecks checks = new ReachabilityChecks(routing, loop, log);
     FaultDetector faults =
         new FaultDetector(
             routing, new EngineProbe(loop, pool, dialect), listenerCheck, checks, log);
--- a/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FaultDetectorTest.java
@@ -45,13 +45,13 @@
     routing = new RoutingState(settings, new Random(1));
     DecisionLog log = new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
     TargetPool pool = new TargetPool(loop, new ShortHeaderDialect(), log);
-    ListenerCheck listenerCheck = new ListenerCheck(loop);
+    ListenerCheck listenerCheck = new ListenerCheck(loop, ListenerCheck.CONNECT_TIMEOUT_MS);
     faults =
         new FaultDetector(
             routing,
             new EngineProbe(loop, pool, new IdleEngineDialect()),
             listenerCheck,
-            new ReachabilityChecks(routing, listenerCheck, log),
+            new ReachabilityChecks(routing, loop, log),
             log);
     first = new ScriptedTarget();
     second = new ScriptedTarget();
