Pass on the refusal of another VM that finds no room, instead of asking up to three more

A VM without links tried four others in turn when the first had no target for a request: each holds it for up to 250 ms, and under load all of them get it. A refusal with a time to come back goes to the caller at once; one that sends the caller elsewhere (the VM stops, or is cut off too) is still tried at the next VM.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** Decides what follows when an attempt of a request has failed. */
@@ -40,7 +41,13 @@
       excludedTargets.add(from.target().id());
     }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
-    retryAfterRefusal(from, exchange.otherGoesOn(from, false), "targets refused the request");
+    boolean otherGoesOn = exchange.otherGoesOn(from, false);
+    OptionalDouble later = RetryAfter.later(context, response);
+    if (from.peer() != null && later.isPresent() && !otherGoesOn) {
+      exchange.giveUp("another VM refused the request", later.getAsDouble());
+    } else {
+      retryAfterRefusal(from, otherGoesOn, "targets refused the request");
+    }
   }
 
   /** Checks whether this VM still reaches the service after a target has failed. */
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -292,7 +292,7 @@
   }
 
   /** Ends the request: 503 with Retry-After if it has certainly not run, else 502. */
-  private void giveUp(String reason, double retryAfterSeconds) {
+  void giveUp(String reason, double retryAfterSeconds) {
     if (counts.certainlyNotRun()) {
       refuse(reason, retryAfterSeconds);
     } else {
--- a/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
@@ -1,6 +1,8 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalDouble;
 
 /** Times after which callers are asked to send a refused request again. */
 final class RetryAfter {
@@ -10,11 +12,22 @@
   /** The same while a VM knows no desired state yet, because it has just started. */
   static final double STARTUP_SECONDS = 2.5;
 
-  /** The same while a VM stops: other VMs take the request at once. */
+  /** The same while a VM stops or reaches no target: other VMs take the request at once. */
   static final double STOP_SECONDS = 0.05;
 
   private RetryAfter() {}
 
+  /**
+   * Returns the delay in seconds that another VM asks for, or empty if a third VM may serve the
+   * request at once.
+   */
+  static OptionalDouble later(ProxyContext context, HttpResponse response) {
+    OptionalDouble seconds = context.dialect().deferralSeconds(response);
+    return seconds.isPresent() && seconds.getAsDouble() > 2 * STOP_SECONDS
+        ? seconds
+        : OptionalDouble.empty();
+  }
+
   /** Returns headers that ask for a random time from 1 to 2 times the given one. */
   static HttpHeaders headers(ProxyContext context, double seconds) {
     HttpHeaders headers = HeaderCopies.empty();
--- a/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
@@ -65,6 +65,7 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       relayPort = socket.getLocalPort();
     }
+    peer.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     peer.listenForPeers(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort));
     applyDesiredState();
     peerLoop.submit(() -> peerRouting.desiredState(routing.desiredState().orElseThrow())).sync();
@@ -99,6 +100,12 @@
     }
   }
 
+  private static String identifiedRefusal(String request) {
+    return identifiedResponse(request)
+        .replace("200 OK", "503 Busy")
+        .replace("Proof: p", "Not-Started: 1");
+  }
+
   private void cutOffRefusing() throws Exception {
     addTargetBehindCut("t1", first, refusingAddress());
     addTargetBehindCut("t2", second, refusingAddress());
@@ -190,6 +197,25 @@
     assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after"), response);
   }
 
+  /** If the other VM finds no room, a third one is not asked, and callers learn when to come. */
+  @Test
+  public void refusalOfTheOtherVmIsPassedOn() throws Exception {
+    cutOffRefusing();
+    await("/once/x", 200);
+    first.script = CutOffTest::identifiedRefusal;
+    second.script = CutOffTest::identifiedRefusal;
+    try (ScriptedTarget third = new ScriptedTarget()) {
+      PeerVm vm = new PeerVm("peer", "127.0.0.1:" + relayPort, "a");
+      PeerVm far = new PeerVm("third", third.address(), "b");
+      loop.submit(() -> proxy.peers().peers(List.of(vm, far))).sync();
+      String response = call("POST", "/once/x", "Id: r9\r\n", "pay");
+      assertEquals(status(response), 503, response + logged());
+      Matcher delay = Pattern.compile("(?i)retry-after: ([0-9.]+)").matcher(response);
+      assertTrue(delay.find() && Double.parseDouble(delay.group(1)) > 1, response);
+      assertTrue(third.requests.isEmpty());
+    }
+  }
+
   /** Targets are used again once they accept connections. */
   @Test
   public void targetsAreUsedAgainAfterTheCut() throws Exception {
--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -114,7 +115,7 @@
 
   @Override
   public void setRetryAfter(HttpHeaders headers, double seconds) {
-    headers.set("Retry-After", seconds);
+    headers.set("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
   }
 
   @Override
