Let both targets of the blame test refuse connections

With the check of the links switched off (a trial on a scratch copy) the test passed, as closing a target also reset the check's connections; now it fails there and passes with the check.

--- a/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
@@ -235,8 +235,8 @@
 
   private String endBoth() {
     try {
-      first.close();
-      second.close();
+      first.stopListening();
+      second.stopListening();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
