Pass on a target's failure if no other target may get the request

The answer was given up before it was known whether another target takes the request. LimitedTargetTest.failureIsPassedOnIfLimitsLeaveNoRetry failed before: expected 500, found 502.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -14,6 +14,7 @@
   private final AttemptCounts counts;
   private final Set<String> excludedTargets;
   private final PartGuard partGuard;
+  private final TargetChooser chooser;
   private final ExchangeLog log;
 
   AttemptFailures(
@@ -22,12 +23,14 @@
       AttemptCounts counts,
       Set<String> excludedTargets,
       PartGuard partGuard,
+      TargetChooser chooser,
       ExchangeLog log) {
     this.exchange = exchange;
     this.context = context;
     this.counts = counts;
     this.excludedTargets = excludedTargets;
     this.partGuard = partGuard;
+    this.chooser = chooser;
     this.log = log;
   }
 
@@ -175,11 +178,11 @@
       excludedTargets.add(target);
       return true;
     }
-    if (!mayRetry(from)) {
+    excludedTargets.add(target);
+    if (!mayRetry(from) || !chooser.hasRetry(from.target().service(), System.nanoTime())) {
       return false;
     }
     counts.recordPossibleRun(target);
-    excludedTargets.add(target);
     exchange.endAttempt();
     log.retriedAfterServerError(target, response.status().code());
     exchange.tryNextTarget();
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -68,7 +68,8 @@
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
     this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
-    this.failures = new AttemptFailures(this, context, counts, excludedTargets, partGuard, log);
+    this.failures =
+        new AttemptFailures(this, context, counts, excludedTargets, partGuard, chooser, log);
   }
 
   /** Starts the request, or tries again to start it while no desired state is known. */
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -105,6 +105,17 @@
     return context.routing().acquireRetry(service, () -> chooseDestination(service, now));
   }
 
+  /** Returns whether there is a retry in the budget, and a destination for it. */
+  boolean hasRetry(String service, long now) {
+    return context.routing().retryBudget(service).hasRetry()
+        && context
+            .routing()
+            .desiredState()
+            .flatMap(state -> state.service(service))
+            .flatMap(known -> chooseDestination(known, now))
+            .isPresent();
+  }
+
   private Decision withoutDestination(Service service, boolean begun, long resolvedAt, long now) {
     OptionalDouble deferral = context.routing().deferralSeconds(service, metadata, now);
     boolean noPeerLeft = isCutOff(service) && !context.peers().isEmpty();
--- a/server/src/test/java/org/clementinesail/server/proxy/LimitedTargetTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/LimitedTargetTest.java
@@ -57,6 +57,19 @@
     assertEquals(first.requests.size() + second.requests.size(), sent);
   }
 
+  /** A failure that a target has answered is passed on if no other target has a permit left. */
+  @Test
+  public void failureIsPassedOnIfLimitsLeaveNoRetry() throws Exception {
+    String failure = limitedTo("0.1").replace("200 OK", "500 Broken");
+    startTargets(failure);
+    second.script = request -> failure;
+    loop.submit(() -> proxy.rateLimitReports().receiveGrants(List.of())).sync();
+    assertEquals(status(call("GET", "/safe/x", "", "")), 500);
+    Permits.Grant grant = new Permits.Grant(1, "t1", 1, 1);
+    loop.submit(() -> proxy.rateLimitReports().receiveGrants(List.of(grant))).sync();
+    assertEquals(status(call("GET", "/safe/x", "", "")), 500);
+  }
+
   /** The first answer without a limit ends it. */
   @Test
   public void answerWithoutLimitEndsIt() throws Exception {
