--- a/core/src/test/java/org/clementinesail/core/ratelimits/RateLimitFleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/ratelimits/RateLimitFleetTest.java
@@ -100,7 +100,7 @@
       }
     }
 
-    private long events() {
+    private long nextNumber() {
       return ++number;
     }
 
@@ -131,7 +131,7 @@
     }
 
     private void at(long time, Runnable run) {
-      events.add(new Event(time, events(), run));
+      events.add(new Event(time, nextNumber(), run));
     }
 
     private void later(Runnable run) {
