Count what another VM has tried against the attempts of the route

A VM without links sent an idempotent request to a second VM after the first had tried it as often as the route allows and failed: three runs where two are allowed. Such a failure is now the end of the request, with 502. CutOffTest.attemptsOfTheRouteHoldOverSeveralVms failed before: expected 2 runs, found 3.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -182,7 +182,8 @@
     lastProgressAt = System.nanoTime();
     context.peers().recordHeard(this);
     if (peer != null && RelayHeaders.isOfVm(response) && !RelayHeaders.isNotRun(response)) {
-      reportLostResponse(false, "another VM could not serve the request");
+      cancel();
+      exchange.failures().onPartialResponseLost(this, "another VM could not serve the request");
       return;
     }
     boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
--- a/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
@@ -197,6 +197,25 @@
     assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after"), response);
   }
 
+  /** A lookup that the other VM has tried as often as its route allows is not tried by a third. */
+  @Test
+  public void attemptsOfTheRouteHoldOverSeveralVms() throws Exception {
+    cutOffRefusing();
+    // Responses without an id, so that no connection is kept that a reset would make stale.
+    first.script = request -> OK_RESPONSE;
+    second.script = request -> OK_RESPONSE;
+    await("/safe/x", 200);
+    PeerVm one = new PeerVm("one", "127.0.0.1:" + relayPort, "a");
+    PeerVm two = new PeerVm("two", "127.0.0.1:" + relayPort, "a");
+    loop.submit(() -> proxy.peers().peers(List.of(one, two))).sync();
+    first.requests.clear();
+    second.requests.clear();
+    first.script = request -> ScriptedTarget.RESET;
+    second.script = request -> ScriptedTarget.RESET;
+    assertEquals(status(call("GET", "/safe/x", "Id: a1\r\n", "")), 502, logged());
+    assertEquals(first.requests.size() + second.requests.size(), 2, logged());
+  }
+
   /** If the other VM finds no room, a third one is not asked, and callers learn when to come. */
   @Test
   public void refusalOfTheOtherVmIsPassedOn() throws Exception {
