Refuse no request for memory that the other VMs' requests may not take

Cause: a VM took each other VM to have sent to an engine what it had sent itself since the last report. With nine VMs, three requests to an engine with memory for 22 excluded it; requests that had ended since the report still counted, too.

Change: the planner estimates twice (EngineMemory). The cautious estimate stays and comes first, as it spreads bursts. If it leaves no path, what the others have sent is taken to equal what they have ended, and this VM's own requests that have ended since the report are subtracted (LocalLoad).

--- /dev/null
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -0,0 +1,91 @@
+package org.clementinesail.core.paths;
+
+import org.clementinesail.core.desired.EngineModel;
+import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.targets.LayerRange;
+
+/**
+ * Estimates the memory that requests take at engines, in tokens times layers as in the reports.
+ *
+ * <p>No VM knows what the other VMs have sent and ended since an engine's last report. They see the
+ * same reports and prefer the same engines, so a cautious estimate takes them to have sent to each
+ * engine as much as this VM has, and to have ended nothing. The steady estimate takes what they
+ * have ended to equal what they have sent.
+ */
+final class EngineMemory {
+  /** Usable share of the memory; the rest is for answers longer than their length hint. */
+  private static final double MAX_PLANNED_SHARE = 0.9;
+
+  private static final double MEGA = 1e6;
+
+  private final EngineModel model;
+  private final LocalLoad localLoad;
+  private final int vms;
+  private final long now;
+
+  /**
+   * The memory of one engine, and what a request needs of it.
+   *
+   * @param used used by requests, as reported
+   * @param unreported estimated change of the use since then
+   * @param required needed by the request
+   * @param total total for requests
+   */
+  record Use(double used, double unreported, double required, double total) {
+    boolean fits() {
+      return used + unreported + required <= total * MAX_PLANNED_SHARE;
+    }
+  }
+
+  /**
+   * Creates an estimate.
+   *
+   * @param model properties of the engines
+   * @param localLoad requests of this VM at each engine
+   * @param vms number of VMs that send requests to the engines
+   * @param now current time in nanoseconds of this VM's monotonic clock
+   */
+  EngineMemory(EngineModel model, LocalLoad localLoad, int vms, long now) {
+    this.model = model;
+    this.localLoad = localLoad;
+    this.vms = vms;
+    this.now = now;
+  }
+
+  /** Returns the use of an engine if the other VMs have sent to it as much as this one has. */
+  Use cautious(Fleet.Member engine, LayerRange layers, int tokens) {
+    double own = localLoad.unreportedKvTokenLayers(engine.statement().id());
+    return use(engine, layers, tokens, own * vms);
+  }
+
+  /** Returns the use of an engine if the other VMs have ended as much there as they have sent. */
+  Use steady(Fleet.Member engine, LayerRange layers, int tokens) {
+    String id = engine.statement().id();
+    double taken = localLoad.unreportedKvTokenLayers(id);
+    return use(engine, layers, tokens, taken - localLoad.endedKvTokenLayers(id));
+  }
+
+  private Use use(Fleet.Member engine, LayerRange layers, int tokens, double unreported) {
+    double used = engine.freshReport(now).map(EngineReport::kvUsed).orElse(0L);
+    return new Use(used, unreported, (double) tokens * layers.size(), total(engine, layers));
+  }
+
+  private double total(Fleet.Member engine, LayerRange layers) {
+    return engine
+        .freshReport(now)
+        .filter(report -> report.kvTotal() > 0)
+        .map(report -> (double) report.kvTotal())
+        .orElseGet(() -> unreportedTotal(engine, layers));
+  }
+
+  private double unreportedTotal(Fleet.Member engine, LayerRange layers) {
+    double megabytes =
+        model
+            .accelerator(engine.statement().accelerator())
+            .map(EngineModel.Accelerator::megabytes)
+            .orElse(0.0);
+    double megabytesPerTokenLayer = model.kvBytesPerToken() / model.layers() / MEGA;
+    return Math.max(0, megabytes - layers.size() * model.layerMegabytes()) / megabytesPerTokenLayer;
+  }
+}
--- a/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
@@ -1,5 +1,7 @@
 package org.clementinesail.core.paths;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -7,7 +9,7 @@
 
 /**
  * Tracks the requests of this VM at each target, and which of them are unreported: the target's
- * last report does not include them yet.
+ * last report does not include them yet, or still includes them although they have ended.
  *
  * <p>Reports may be late or missing, for example while the control VMs are down. Requests that have
  * ended are no longer counted, even if no report has arrived since. The class is not thread-safe.
@@ -16,6 +18,9 @@
   /** Age of the engine state in a report at the time the report is read. */
   private static final long REPORT_LAG_NANOS = 200_000_000L;
 
+  /** Longest time that a request which has ended is kept without a new report. */
+  private static final long MAX_ENDED_AGE_NANOS = 5_000_000_000L;
+
   /** One request at one target, compared by object identity. */
   public static final class Assignment {
     private final String target;
@@ -29,10 +34,15 @@
     }
   }
 
+  /** Memory of a request that has ended. */
+  private record Ended(long kvTokenLayers, long endedAt) {}
+
   private static final class TargetWork {
     final Set<Assignment> unreported = new HashSet<>();
+    final Deque<Ended> endedSinceReport = new ArrayDeque<>();
     int requests;
     long unreportedKvTokenLayers;
+    long endedKvTokenLayers;
     long reportedAt = Long.MIN_VALUE;
 
     void removeUnreported(Assignment assignment) {
@@ -40,6 +50,23 @@
         unreportedKvTokenLayers -= assignment.kvTokenLayers;
       }
     }
+
+    void recordEnd(Assignment assignment, long now) {
+      requests--;
+      if (unreported.contains(assignment)) {
+        removeUnreported(assignment);
+      } else {
+        endedSinceReport.addLast(new Ended(assignment.kvTokenLayers, now));
+        endedKvTokenLayers += assignment.kvTokenLayers;
+        removeEndedUntil(now - MAX_ENDED_AGE_NANOS);
+      }
+    }
+
+    void removeEndedUntil(long time) {
+      while (!endedSinceReport.isEmpty() && endedSinceReport.getFirst().endedAt - time <= 0) {
+        endedKvTokenLayers -= endedSinceReport.removeFirst().kvTokenLayers;
+      }
+    }
   }
 
   private final Map<String, TargetWork> workByTarget = new HashMap<>();
@@ -65,16 +92,19 @@
    * Records that a request has left a target.
    *
    * @param assignment assignment of the request
+   * @param now current time in nanoseconds of this VM's monotonic clock
    */
-  public void release(Assignment assignment) {
+  public void release(Assignment assignment, long now) {
     TargetWork work = workByTarget.get(assignment.target);
-    if (work == null) {
-      return;
+    if (work != null) {
+      work.recordEnd(assignment, now);
+      removeIfIdle(assignment.target, work);
     }
-    work.requests--;
-    work.removeUnreported(assignment);
-    if (work.requests <= 0) {
-      workByTarget.remove(assignment.target);
+  }
+
+  private void removeIfIdle(String id, TargetWork work) {
+    if (work.requests <= 0 && work.endedSinceReport.isEmpty()) {
+      workByTarget.remove(id);
     }
   }
 
@@ -97,6 +127,8 @@
         work.removeUnreported(assignment);
       }
     }
+    work.removeEndedUntil(coveredUntil);
+    removeIfIdle(id, work);
   }
 
   /**
@@ -120,4 +152,13 @@
     TargetWork work = workByTarget.get(id);
     return work == null ? 0 : work.unreportedKvTokenLayers;
   }
+
+  /**
+   * Returns the KV cache memory of this VM's requests that have ended although the target's last
+   * report includes them, in tokens times layers.
+   */
+  long endedKvTokenLayers(String id) {
+    TargetWork work = workByTarget.get(id);
+    return work == null ? 0 : work.endedKvTokenLayers;
+  }
 }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -24,7 +24,9 @@
  *
  * <p>Several VMs may send steady or bursty load at the same time, and all see the same engine
  * reports. Therefore the requests that this VM has sent since a report are multiplied by the number
- * of VMs, and a small random factor keeps the VMs from all choosing the same engine.
+ * of VMs, and a small random factor keeps the VMs from all choosing the same engine. Only if no
+ * path has memory by that estimate, the steady one decides, so that no request is refused for load
+ * that may not exist.
  */
 public final class PathPlanner {
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -52,9 +54,6 @@
   /** A token waits on average for half of the pass in progress at an engine, then for its own. */
   private static final double PASSES_PER_STEP = 1.5;
 
-  /** Usable share of the KV cache memory; the rest is for answers longer than their length hint. */
-  private static final double MAX_PLANNED_KV_SHARE = 0.9;
-
   /** The time of each engine is multiplied by a random factor from 1 to 1 plus this value. */
   private static final double RANDOM_SPREAD = 0.15;
 
@@ -79,6 +78,11 @@
   private record Candidate(
       Fleet.Member member, LayerRange layers, double millisPerLayer, boolean mayBeFirst) {}
 
+  /** Decides whether an engine has memory for the request. */
+  private interface Admission {
+    boolean admits(Fleet.Member engine, LayerRange layers);
+  }
+
   /**
    * The cheapest path found so far that ends at a layer boundary, in one data centre.
    *
@@ -126,12 +130,34 @@
       Set<String> notFirst,
       int vms,
       long now) {
+    EngineMemory memory = new EngineMemory(model, localLoad, vms, now);
+    int tokens = requirements.promptTokens() + requirements.answerTokens();
+    Admission cautious = (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
+    List<Fleet.Member> usable =
+        engines.stream()
+            .filter(engine -> !excluded.contains(engine.statement().id()))
+            .filter(engine -> !engine.isSuspect(now))
+            .toList();
+    Optional<List<Hop>> path = plan(model, usable, cautious, requirements, notFirst, vms, now);
+    if (path.isPresent()) {
+      return path;
+    }
+    Admission steady = (engine, layers) -> memory.steady(engine, layers, tokens).fits();
+    return plan(model, usable, steady, requirements, notFirst, vms, now);
+  }
+
+  private Optional<List<Hop>> plan(
+      EngineModel model,
+      List<Fleet.Member> engines,
+      Admission admission,
+      Requirements requirements,
+      Set<String> notFirst,
+      int vms,
+      long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (Fleet.Member engine : engines) {
-      if (!excluded.contains(engine.statement().id()) && !engine.isSuspect(now)) {
-        boolean first = !notFirst.contains(engine.statement().id());
-        candidate(model, engine, requirements, first, vms, now).ifPresent(candidates::add);
-      }
+      boolean first = !notFirst.contains(engine.statement().id());
+      candidate(model, engine, admission, requirements, first, vms, now).ifPresent(candidates::add);
     }
     double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
@@ -146,6 +172,7 @@
   private Optional<Candidate> candidate(
       EngineModel model,
       Fleet.Member engine,
+      Admission admission,
       Requirements requirements,
       boolean mayBeFirst,
       int vms,
@@ -156,7 +183,7 @@
     if (layers == null || layers.to() > model.layers() || kind == null) {
       return Optional.empty();
     }
-    if (!hasMemory(model, kind, engine, requirements, vms, now)) {
+    if (!admission.admits(engine, layers)) {
       return Optional.empty();
     }
     EngineReport report = engine.freshReport(now).orElse(null);
@@ -186,32 +213,6 @@
             engine, layers, totalMillis * slowdown * randomFactor / model.layers(), mayBeFirst));
   }
 
-  private boolean hasMemory(
-      EngineModel model,
-      Accelerator kind,
-      Fleet.Member engine,
-      Requirements requirements,
-      int vms,
-      long now) {
-    LayerRange layers = engine.layers();
-    if (layers == null) {
-      return false;
-    }
-    EngineReport report = engine.freshReport(now).orElse(null);
-    // KV cache memory is counted in tokens times layers, as in the reports.
-    double megabytesPerTokenLayer = model.kvBytesPerToken() / model.layers() / MEGA;
-    double freeMegabytes = kind.megabytes() - layers.size() * model.layerMegabytes();
-    double totalKv =
-        report != null && report.kvTotal() > 0
-            ? report.kvTotal()
-            : freeMegabytes / megabytesPerTokenLayer;
-    double usedKv = report == null ? 0 : report.kvUsed();
-    double unreportedKv = (double) localLoad.unreportedKvTokenLayers(engine.statement().id()) * vms;
-    double requiredKv =
-        (double) (requirements.promptTokens() + requirements.answerTokens()) * layers.size();
-    return usedKv + unreportedKv + requiredKv <= totalKv * MAX_PLANNED_KV_SHARE;
-  }
-
   private Optional<List<Hop>> cheapestPath(
       EngineModel model,
       List<Candidate> candidates,
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -244,7 +244,7 @@
     for (int i = 0; i < 40; i++) {
       long now = TimeUnit.MILLISECONDS.toNanos(100L * i) + 1;
       if (running.size() == 3) {
-        localLoad.release(running.removeFirst());
+        localLoad.release(running.removeFirst(), now);
       }
       List<Hop> hops = planAt(now, planner);
       assertCoversAllLayers(hops);
@@ -265,4 +265,38 @@
     assertEquals(localLoad.unreportedKvTokenLayers("e"), 10);
     assertEquals(localLoad.requestCount("e"), 2);
   }
+
+  /** Requests that have ended free their memory before the engine reports it. */
+  @Test
+  public void endedRequestsFreeMemoryBeforeTheNextReport() {
+    engine("e", "a", "whole", 0, 80);
+    long kv = 10L * (774 + 203) * 80;
+    LayerRange all = new LayerRange(0, 80);
+    Deque<LocalLoad.Assignment> running = new ArrayDeque<>();
+    for (int i = 0; i < 9; i++) {
+      running.add(localLoad.assign("e", (774 + 203) * 80, 1));
+    }
+    long reported = TimeUnit.SECONDS.toNanos(1);
+    fleet.recordReport(
+        new EngineReport("e", true, 9, 0, kv * 9 / 10, kv, 1, false, 1, all, reported), 0);
+    localLoad.recordReport("e", reported);
+    assertEquals(planAt(reported, planner), List.of());
+    localLoad.release(running.remove(), reported);
+    assertEquals(ids(planAt(reported, planner)), List.of("e"));
+    localLoad.recordReport("e", reported + TimeUnit.SECONDS.toNanos(1));
+    assertEquals(localLoad.endedKvTokenLayers("e"), 0);
+  }
+
+  /** Without reports, requests that have ended are not kept for more than 5 s. */
+  @Test
+  public void endedRequestsAreForgottenWithoutReports() {
+    localLoad.assign("e", 1, 1);
+    List<LocalLoad.Assignment> ended =
+        List.of(localLoad.assign("e", 10, 1), localLoad.assign("e", 100, 1));
+    localLoad.recordReport("e", TimeUnit.SECONDS.toNanos(1));
+    localLoad.release(ended.get(0), TimeUnit.SECONDS.toNanos(2));
+    assertEquals(localLoad.endedKvTokenLayers("e"), 10);
+    localLoad.release(ended.get(1), TimeUnit.SECONDS.toNanos(8));
+    assertEquals(localLoad.endedKvTokenLayers("e"), 100);
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -161,7 +161,7 @@
 
   private void finish() {
     finished = true;
-    assignments.forEach(a -> context.routing().ownLoad().release(a));
+    assignments.forEach(a -> context.routing().ownLoad().release(a, System.nanoTime()));
     context.peers().recordEnd(peer);
     reservation.release();
     if (buffer != null) {
