--- a/server/src/test/java/org/clementinesail/server/proxy/LeftoverStreamBytesTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/LeftoverStreamBytesTest.java
@@ -14,12 +14,12 @@
 /** Tests that no copy of a stream, whole or cut, reaches the next caller of its connection. */
 public final class LeftoverStreamBytesTest extends ProxyTest {
   private static final String FIRST = stream("r0");
-  private static final String SECOND = stream("r1");
+  static final String SECOND = stream("r1");
   private static final String FAILURE =
       "HTTP/1.1 500 Internal Server Error\r\nId: r1\r\nProof: pr1\r\nContent-Length: 7\r\n\r\nfailure";
 
   /** When the copy is sent. */
-  private enum Moment {
+  enum Moment {
     WITH_THE_END,
     WHILE_IDLE,
     BEFORE_THE_NEXT_RESPONSE
@@ -66,7 +66,9 @@
     return copies.toArray(Object[][]::new);
   }
 
-  private static String firstResponse(String copy, Moment moment) {
+  /** Returns the first response, and the copy of it if that is sent before the next request. */
+  static String firstResponse(int cut, Moment moment) {
+    String copy = FIRST.substring(0, cut);
     return switch (moment) {
       case WITH_THE_END -> FIRST + copy;
       case WHILE_IDLE -> FIRST + ScriptedTarget.PAUSE + copy;
@@ -74,16 +76,23 @@
     };
   }
 
+  /** Returns the second response, after the copy of the first one if that is sent only then. */
+  static String secondResponse(int cut, Moment moment, String second) {
+    boolean before = moment == Moment.BEFORE_THE_NEXT_RESPONSE;
+    return before ? FIRST.substring(0, cut) + second : second;
+  }
+
   /** The caller gets its own whole response or a failure, never the status of the copy. */
   @Test(dataProvider = "copies", timeOut = 20_000)
   public void copyOfAStreamIsNotTakenForTheNextResponse(int cut, Moment moment, String second)
       throws Exception {
     applyDesiredState();
     addTarget("t1", first, "a");
-    String copy = FIRST.substring(0, cut);
-    String before = moment == Moment.BEFORE_THE_NEXT_RESPONSE ? copy : "";
     first.script =
-        request -> request.contains("Id: r0") ? firstResponse(copy, moment) : before + second;
+        request ->
+            request.contains("Id: r0")
+                ? firstResponse(cut, moment)
+                : secondResponse(cut, moment, second);
     assertEquals(status(call("POST", "/stream/x", "Id: r0\r\n", "")), 200);
     String answer = call("POST", "/stream/x", "", "");
     assertFalse(answer.contains("text of r0"), answer);
