A target's header between VMs is not passed on as the serving VM's

What callers saw: a payment that had run was answered 503, which promises that it has not, or ran a second time at a third VM, or was answered 502 although its target had answered 200. It needs a caller of a VM that is cut off and a target whose answer has the header Relay-Outcome.

Cause: the serving VM set Relay-Target in a target's answer, but passed on the other headers between VMs as the target had sent them; the cut VM took "not-run" for the other VM's word. Class: a header of one side's own protocol is set where the VM has something to say, but not removed where it has nothing.

Change: ResponseSender removes all of them from an answer to another VM before it names the target.

Evidence: TwoHopHeadersTest, 16 tests: 5 failed before (200 expected: 503 twice, 502 twice; one request expected, two arrived), none now. With CutOffTest 29 tests pass. The others of the class passed before: headers between VMs from callers are not obeyed, and whoever connects to the port between VMs needs a key and gets that key's workspace.

--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -46,6 +46,7 @@
   private HttpHeaders headers(Attempt from, HttpResponse head) {
     HttpHeaders headers = HeaderCopies.ofResponse(head.headers());
     if (context.relayed()) {
+      RelayHeaders.removeFrom(headers);
       RelayHeaders.setTarget(headers, from.target());
     }
     return headers;
