An answer without a request id is not lost between two VMs

What callers saw: an order of a caller of a cut-off VM got 502, although its target had run it and answered 200 without the request id, which one hop accepts on a new connection.

Cause: the serving VM knew whose answer it was, as its connection was new, and passed it on as it came. The cut VM had kept its connection to that VM, and an answer without an id on a kept connection proves nothing. The same if the target names its id header in Connection, so that the serving VM drops it. Class: proof that one hop has is not handed to the next.

Change: the serving VM names the request in every answer to another VM, as it did in its own refusals; not if the caller gave no id.

--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -15,6 +15,7 @@
   private final PartGuard partGuard;
   private final PauseLogger pauseLogger;
   private final AttemptCounts counts;
+  private final String requestId;
   private final long receivedAt;
   private final ResponseProgress progress;
 
@@ -29,6 +30,7 @@
     this.caller = caller;
     this.partGuard = partGuard;
     this.counts = counts;
+    this.requestId = metadata.id();
     this.receivedAt = receivedAt;
     this.pauseLogger = new PauseLogger(context, metadata.id());
     this.progress = new ResponseProgress(metadata.lastEventId());
@@ -46,6 +48,10 @@
   private HttpHeaders headers(Attempt from, HttpResponse head) {
     HttpHeaders headers = HeaderCopies.ofResponse(head.headers());
     if (context.relayed()) {
+      // A target need not repeat the id, but the other VM could not tell whose answer it is.
+      if (!requestId.isEmpty()) {
+        context.dialect().setRequestId(headers, requestId);
+      }
       RelayHeaders.removeFrom(headers);
       RelayHeaders.setTarget(headers, from.target());
     }
--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
@@ -30,6 +30,7 @@
       {"Relay-Target: 1 t1\r\nRelay-Target: 1 t2"},
       {"Relay-Earlier-Runs: 9"},
       {"Connection: Relay-Target"},
+      {"Connection: Id"},
       {"Connection: Relay-Outcome\r\nRelay-Outcome: not-run"},
     };
   }
@@ -80,6 +81,28 @@
     assertFalse(logged().contains("\"target leaves\",\"target\":\"t2\""), logged());
   }
 
+  /** A response without the request id is that of the request over both hops, as on one. */
+  @Test
+  public void responseWithoutIdIsNotLostOnAKeptConnectionBetweenVms() throws Exception {
+    first.script = request -> identifiedResponse(request) + ScriptedTarget.CLOSE;
+    assertEquals(status(call("POST", ONCE, "Id: n1\r\n", "pay")), 200);
+    first.script = request -> OK_RESPONSE;
+    String response = call("POST", ONCE, "Id: n2\r\n", "pay");
+    assertEquals(status(response), 200, response + describe());
+    assertEquals(first.requests.size(), 2, describe());
+  }
+
+  /** A request without an id is served over both hops, and its answer names none. */
+  @Test
+  public void requestWithoutIdIsServed() throws Exception {
+    first.script = request -> OK_RESPONSE;
+    for (int i = 0; i < 2; i++) {
+      String response = callAt(port, ONCE, "", "pay");
+      assertEquals(status(response), 200, response + describe());
+      assertFalse(response.contains("Id:"), response);
+    }
+  }
+
   /** Headers between VMs that a caller sends say nothing, and reach no target. */
   @Test
   public void headersBetweenVmsFromCallersAreNotObeyed() throws Exception {
