--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import org.clementinesail.core.desired.RequestLimits;
 import org.clementinesail.core.reachability.PeerVm;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -148,4 +149,19 @@
     assertEquals(status(callAt(relayPort, "/lookup/x", "Id: s1\r\n" + claim, "x")), 502);
     assertEquals(status(callAt(relayPort, "/lookup/x", "Id: s2\r\n", "x")), 200, describe());
   }
+
+  /** A request that the cut VM accepts is not too large for the serving VM. */
+  @Test
+  public void requestWithTheLargestHeadIsServed() throws Exception {
+    int size = RequestLimits.DEFAULT.maxHeaderBytes();
+    String pad = "";
+    int status;
+    do {
+      pad = "Pad: " + "p".repeat(size) + "\r\n";
+      status = status(callAt(servingPort, ONCE, "Id: d" + size + "\r\n" + pad, "x"));
+      size--;
+    } while (status != 200);
+    String response = callAt(port, ONCE, "Id: d1\r\n" + pad, "x");
+    assertEquals(status(response), 200, response + describe());
+  }
 }
