--- a/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
@@ -60,6 +60,11 @@
     headers.set(TARGET, target.startedAtMillis() + " " + target.id());
   }
 
+  /** Returns whether a VM states that the answer is that of a target. */
+  static boolean namesTarget(HttpResponse response) {
+    return response.headers().contains(TARGET);
+  }
+
   /** Returns the target whose answer was passed on, if this VM knows that start of it. */
   static Optional<TargetStatement> target(HttpResponse response, Fleet fleet) {
     String value = response.headers().get(TARGET, "");
--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
@@ -59,6 +59,15 @@
     assertEquals(first.requests.size(), 1, describe());
   }
 
+  /** A success counts only if the serving VM says which target it is of. */
+  @Test
+  public void successOfWhatIsNoVmIsNotPassedOn() throws Exception {
+    servedBy(second.address());
+    second.script = ProxyTest::identifiedResponse;
+    assertEquals(status(call("POST", ONCE, "Id: p1\r\n", "pay")), 502, describe());
+    assertEquals(second.requests.size(), 1, describe());
+  }
+
   /** A target that refuses and claims an unknown outcome has not run the request. */
   @Test
   public void refusalWithAnOutcomeIsARefusal() throws Exception {
