--- a/tools/plays/cut_events.py
+++ b/tools/plays/cut_events.py
@@ -207,7 +207,7 @@
         for task in self.tasks:
             task.cancel()
         for result in await asyncio.gather(*self.tasks, return_exceptions=True):
-            if not isinstance(result, asyncio.CancelledError):
+            if isinstance(result, Exception):
                 self.play.errors.append(repr(result))
         for number in range(self.play.options.entries):
             self.play.links.mend(number)
--- a/tools/plays/cut_links.py
+++ b/tools/plays/cut_links.py
@@ -58,6 +58,8 @@
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.listener.bind((self.target.ip, self.port))
         self.listener.listen(128)
+        if self.task is not None:
+            return
         self.task = asyncio.create_task(self.accept())
 
     async def stop_accepting(self):
