Name the layers and reasons that leave a refused request without a path

Change: the reason goes on with up to three ranges of layers that no engine serves, the engines that hold each by the reason that leaves them out, and the memory of the one with most room, with the age of its report.

PathPlannerTest.missingLayersAreDescribedWithTheReasons; 14 tests of the class and 75 of ProxyServerTest and CutOffTest pass.

--- a/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -33,6 +33,12 @@
    * @param total total for requests
    */
   record Use(double used, double unreported, double required, double total) {
+    /** Returns the share of the memory that is taken with the request. */
+    double share() {
+      return total > 0 ? (used + unreported + required) / total : Double.MAX_VALUE;
+    }
+
+    /** Returns whether the engine has memory for the request. */
     boolean fits() {
       return used + unreported + required <= total * MAX_PLANNED_SHARE;
     }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -169,6 +169,38 @@
         remoteHopMillis(model, requirements, linkUtilization));
   }
 
+  /**
+   * Tells why {@link #plan} finds no path.
+   *
+   * @param model properties of the engines
+   * @param known all engines of the service
+   * @param ready identities of those that accept new work
+   * @param requirements size of the request
+   * @param excluded identities of targets that must not be used
+   * @param notFirst identities of targets that must not get the request as the first of a path
+   * @param now current time in nanoseconds of this VM's monotonic clock
+   * @return the layers that are missing, with the reasons for the engines that hold them
+   */
+  public String describeGaps(
+      EngineModel model,
+      List<Fleet.Member> known,
+      Set<String> ready,
+      Requirements requirements,
+      Set<String> excluded,
+      Set<String> notFirst,
+      long now) {
+    EngineMemory memory = new EngineMemory(model, localLoad, 1, now);
+    int tokens = requirements.promptTokens() + requirements.answerTokens();
+    PathGaps gaps = new PathGaps(model.layers(), now, ready, excluded, notFirst);
+    for (Fleet.Member member : known) {
+      LayerRange layers = member.layers();
+      if (layers != null) {
+        gaps.add(member, layers, memory.steady(member, layers, tokens));
+      }
+    }
+    return gaps.describe();
+  }
+
   private Optional<Candidate> candidate(
       EngineModel model,
       Fleet.Member engine,
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -299,4 +299,29 @@
     localLoad.release(ended.get(1), TimeUnit.SECONDS.toNanos(8));
     assertEquals(localLoad.endedKvTokenLayers("e"), 100);
   }
+
+  /** A refusal names the layers without an engine and why each of these is left out. */
+  @Test
+  public void missingLayersAreDescribedWithTheReasons() {
+    engine("a1", "a", "whole", 0, 40);
+    engine("a2", "a", "whole", 40, 80);
+    engine("b2", "b", "whole", 40, 80);
+    engine("c2", "c", "whole", 40, 80);
+    fleet.markSuspect("b2", 4_000_000);
+    LayerRange layers = new LayerRange(40, 80);
+    fleet.recordReport(new EngineReport("a2", true, 9, 0, 950, 1000, 1, false, 1, layers, 1), 1);
+    String gaps =
+        planner.describeGaps(
+            TestModels.MODEL,
+            List.copyOf(fleet.members()),
+            Set.of("a1", "a2", "b2"),
+            REQUIREMENTS,
+            Set.of(),
+            Set.of("a1"),
+            3_000_001);
+    assertEquals(
+        gaps,
+        "0..40 1 engines {LIMIT=1}; 40..80 3 engines {NOT_READY=1, SUSPECT=1, MEMORY=1},"
+            + " a2 used 950 changed 0 required 39080 of 1000, report 3 ms old");
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -130,7 +130,7 @@
   void start(FullHttpRequest request, RequestMetadata metadata, boolean newConnection) {
     boolean repeatable = route != null && route.repeatable();
     long maxIdleNanos = newConnection ? 0 : repeatable ? Long.MAX_VALUE : MAX_IDLE_NANOS;
-    var estimate = RoutingState.TokenEstimate.of(metadata, model);
+    var estimate = TokenEstimate.of(metadata, model);
     assignments =
         model == null || path.isEmpty()
             ? List.of(context.routing().ownLoad().assign(target.id(), 0, System.nanoTime()))
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -195,13 +195,37 @@
    */
   private Optional<List<Hop>> planPath(
       String service, EngineModel model, TokenEstimate estimate, Set<String> excluded, long now) {
-    PathPlanner.Requirements requirements =
-        new PathPlanner.Requirements(
-            estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
     List<Fleet.Member> ready = fleet.ready(service, now);
     Set<String> notFirst = withoutPermit(ready, now);
     int vms = sendingVms > 0 ? sendingVms : trafficVms;
-    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
+    return pathPlanner.plan(model, ready, requirements(estimate), excluded, notFirst, vms, now);
+  }
+
+  /**
+   * Returns why {@link #chooseDestination} finds no target.
+   *
+   * @return a short description for the log; empty for a service without engines
+   */
+  String describeGaps(Service service, RequestMetadata metadata, Set<String> excluded, long now) {
+    EngineModel model = service.engine();
+    if (model == null) {
+      return "";
+    }
+    TokenEstimate estimate = TokenEstimate.of(metadata, model);
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
+    Set<String> readyIds = new HashSet<>();
+    ready.forEach(member -> readyIds.add(member.statement().id()));
+    List<Fleet.Member> known =
+        fleet.members().stream()
+            .filter(member -> member.statement().service().equals(service.name()))
+            .toList();
+    return pathPlanner.describeGaps(
+        model, known, readyIds, requirements(estimate), excluded, withoutPermit(ready, now), now);
+  }
+
+  private PathPlanner.Requirements requirements(TokenEstimate estimate) {
+    return new PathPlanner.Requirements(
+        estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
   }
 
   /**
@@ -333,28 +357,6 @@
     return assignments;
   }
 
-  /**
-   * Expected tokens of a request.
-   *
-   * @param promptTokens tokens of the prompt
-   * @param answerTokens expected tokens of the answer
-   */
-  record TokenEstimate(int promptTokens, int answerTokens) {
-    /** Returns the caller's values or else the model's means; 0 for a service without a model. */
-    static TokenEstimate of(RequestMetadata metadata, @Nullable EngineModel model) {
-      if (model == null) {
-        return new TokenEstimate(0, 0);
-      }
-      int expected =
-          metadata.expectedAnswerTokens() > 0
-              ? metadata.expectedAnswerTokens()
-              : model.meanAnswerTokens();
-      int limit = metadata.maxAnswerTokens() > 0 ? metadata.maxAnswerTokens() : Integer.MAX_VALUE;
-      int prompt = metadata.promptTokens() > 0 ? metadata.promptTokens() : model.meanPromptTokens();
-      return new TokenEstimate(prompt, Math.min(expected, limit));
-    }
-  }
-
   /** Returns a target of a service without engines, or empty if none is available. */
   private Optional<Fleet.Member> pickTarget(String service, Set<String> excluded, long now) {
     List<Fleet.Member> ready = fleet.ready(service, now);
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -124,8 +124,11 @@
     if (begun || mayWait) {
       return new Await();
     }
-    return deferral.isPresent()
-        ? new GiveUp("the targets take no more requests for now", deferral.getAsDouble())
-        : new GiveUp("no target is available", RetryAfter.SECONDS);
+    if (deferral.isPresent()) {
+      return new GiveUp("the targets take no more requests for now", deferral.getAsDouble());
+    }
+    String gaps = context.routing().describeGaps(service, metadata, excludedTargets, now);
+    String reason = "no target is available" + (gaps.isEmpty() ? "" : ": " + gaps);
+    return new GiveUp(reason, RetryAfter.SECONDS);
   }
 }
