A silent stream is not ended by the failure of another VM beside it

What callers saw: a stream whose target was silent for a second, while its VM was refused by all targets, broke off when the VM that had got it as a second attempt answered 502 or 504, although the first attempt was open and went on.

Cause: a failure that another VM states ended the request at once. All other failures of a second attempt ask first whether the other attempt goes on. Class: a new kind of failure bypassed the place where failures of attempts are decided.

Change: AttemptFailures.onOtherVmFailed asks it, and leaves that VM out of what follows. Without another attempt the request ends as before.

Evidence: SilencedStreamTest, 4 tests: "unknown outcome" and "deadline" failed before (the stream ended after event 1), all pass now; with CutOffTest, SilentEngineTest and TwoHopEndTest 68 tests pass.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -159,6 +159,17 @@
     tryAnother(from, reason);
   }
 
+  /**
+   * Handles the statement of another VM that it failed to serve a request that may have run. That
+   * VM has tried again already, if the route allows it.
+   */
+  void onOtherVmFailed(Attempt from) {
+    excludedTargets.add(from.target().id());
+    if (!exchange.otherGoesOn(from, true)) {
+      onPartialResponseLost(from, "another VM could not serve the request");
+    }
+  }
+
   /** Fails a response that was partly sent to the caller and cannot be continued. */
   void onPartialResponseLost(Attempt from, String reason) {
     exchange.endAttempt();
