--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopSecondResponseTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopSecondResponseTest.java
@@ -93,6 +93,40 @@
     }
   }
 
+  /** Responses to HEAD, whose length announces no body. */
+  @DataProvider
+  public Object[][] headResponses() {
+    return new SecondResponseTest().headResponses();
+  }
+
+  /** A body that follows the response to HEAD is neither passed on nor the next response. */
+  @Test(dataProvider = "headResponses")
+  public void responseToHeadHasNoBody(String name, String response) throws Exception {
+    answerInTurn(PoolTest.success("r0"), response, PoolTest.success("r2"));
+    assertEquals(status(call("r0")), 200);
+    String answer = call("HEAD", "/once/x", "Id: r1\r\n", "");
+    assertEquals(body(answer), "", name + ": " + answer);
+    assertNextIsOwn(name);
+  }
+
+  /** Bytes of another response inside a chunked one, or after its end. */
+  @DataProvider
+  public Object[][] chunkedResponses() {
+    return new SecondResponseTest().chunkedResponses();
+  }
+
+  /** Bytes of another response inside a chunked one lose it; after its end they are dropped. */
+  @Test(dataProvider = "chunkedResponses")
+  public void bytesInAChunkedResponse(String name, String response, boolean whole)
+      throws Exception {
+    answerInTurn(PoolTest.success("r0"), response, PoolTest.success("r2"));
+    assertEquals(status(call("r0")), 200);
+    String answer = call("r1");
+    assertEquals(status(answer), whole ? 200 : 502, name + ": " + answer + describe());
+    assertEquals(body(answer), whole ? "well" : "", name);
+    assertNextIsOwn(name);
+  }
+
   private static String relayed(String response) {
     return response.replaceFirst("\r\n", "\r\nRelay-Target: 1 t1\r\n");
   }
