Look for another answer in a body over all its reads

Before: a truncated body of fixed length that another answer filled was passed on as a 200, unless the filling began in the read that ended the body.

Cause: the check saw the bytes of the last read only, and judged at the moment of the last byte of the body, when nothing after it had come.

Change: OverlapCheck reads each part of a body as it comes, and follows the heads that begin in it (EmbeddedHead, 16 at most, 32 KiB each at most); it keeps no body. If the body ends within a head, or within an answer with the id of a request of the connection, ResponseEnd holds the answer back until the bytes after it decide, up to 250 ms, and the connection is not kept if it had to wait. The proof is the same as before. An answer that nothing refutes is passed on, also if the target closes the connection meanwhile.

--- a/server/src/main/java/org/clementinesail/server/proxy/OverlapCheck.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/OverlapCheck.java
@@ -1,91 +1,132 @@
 package org.clementinesail.server.proxy;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import java.util.Optional;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.regex.Pattern;
+import java.util.regex.Matcher;
 
 /**
  * Finds a response that begins within the body of another one and goes on after its end: the body
  * was truncated, and the next response fills it. A body may contain whole responses as its text.
+ * The body is read as it comes; only the lines of heads in it are kept.
+ *
+ * <pre>{@code
+ * check.readBody(part);
+ * Verdict verdict = check.judge(bytesAfterTheBody);
+ * }</pre>
  */
 final class OverlapCheck {
-  /** Most places, from the end of the body, at which a response is looked for. */
-  private static final int MAX_CANDIDATES = 16;
+  /** Most responses that are followed at the same time; the earliest is given up. */
+  private static final int MAX_HEADS = 16;
 
-  private static final String LAST_CHUNK = "0\r\n\r\n";
-  private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+  private static final int STATUS_LENGTH = "HTTP/1.1 200".length();
+  private static final byte FIRST_BYTE = (byte) HeadScan.VERSION.charAt(0);
+
+  /** What the bytes so far say about the body. */
+  enum Verdict {
+    /** Nothing shows that another response filled it. */
+    WHOLE,
+    /** Another response filled it. */
+    FILLED,
+    /** Further bytes may show that another response filled it. */
+    OPEN
+  }
 
-  private final String bytes;
-  private final int bodyEnd;
   private final Set<String> singularHeaders;
   private final Predicate<HttpResponse> sentHere;
+  private final Deque<EmbeddedHead> heads = new ArrayDeque<>(0);
+  private long bodyBytes;
+  private int bytesAfter;
 
   /**
-   * Creates a check of the bytes of one read.
+   * Creates a check of one body.
    *
-   * @param bytes the bytes, decoded as ISO 8859-1
-   * @param bodyEnd index after the last byte of the body; more bytes follow
    * @param singularHeaders names in lower case of further headers that a response has once
    * @param sentHere returns whether a response has the id of a request of the same connection
    */
-  OverlapCheck(
-      String bytes, int bodyEnd, Set<String> singularHeaders, Predicate<HttpResponse> sentHere) {
-    this.bytes = bytes;
-    this.bodyEnd = bodyEnd;
+  OverlapCheck(Set<String> singularHeaders, Predicate<HttpResponse> sentHere) {
     this.singularHeaders = singularHeaders;
     this.sentHere = sentHere;
   }
 
-  /**
-   * Returns whether a response begins in the body and goes on after it.
-   *
-   * @param bodyStart index of the first byte of the body
-   */
-  boolean findsOverlap(int bodyStart) {
-    if (STATUS.matcher(bytes).region(bodyEnd, bytes.length()).lookingAt()) {
-      // The additional bytes are a response from its beginning.
-      return false;
-    }
-    int at = bytes.lastIndexOf(HeadScan.VERSION, bodyEnd - 1);
-    for (int i = 0; i < MAX_CANDIDATES && at >= bodyStart; i++) {
-      if (overlaps(at)) {
-        return true;
+  /** Reads the next part of the body. */
+  void readBody(ByteBuf part) {
+    heads.forEach(head -> head.readBody(part));
+    int begin = part.readerIndex();
+    int end = part.writerIndex();
+    for (int at = part.indexOf(begin, end, FIRST_BYTE);
+        at >= 0;
+        at = part.indexOf(at + 1, end, FIRST_BYTE)) {
+      if (mayBeHead(part, at)) {
+        EmbeddedHead head = new EmbeddedHead(bodyBytes + at - begin, singularHeaders, sentHere);
+        head.readBody(part.slice(at, end - at));
+        add(head, bodyBytes + end - begin);
       }
-      at = bytes.lastIndexOf(HeadScan.VERSION, at - 1);
     }
-    return false;
+    bodyBytes += end - begin;
+    heads.removeIf(head -> !head.mayGoOnAfter(bodyBytes));
   }
 
-  private boolean overlaps(int start) {
-    Optional<HeadScan> found = HeadScan.of(bytes, start, singularHeaders);
-    if (found.isEmpty()) {
-      return false;
+  private static boolean mayBeHead(ByteBuf part, int at) {
+    int length = Math.min(HeadScan.VERSION.length(), part.writerIndex() - at);
+    for (int i = 1; i < length; i++) {
+      if (part.getByte(at + i) != HeadScan.VERSION.charAt(i)) {
+        return false;
+      }
     }
-    HeadScan scan = found.get();
-    return scan.end() > bodyEnd
-        || (scan.complete() && bodyOverlaps(scan.head(), scan.end()))
-        || (scan.end() == start && statusOverlaps(start));
+    Matcher status = status(part, at);
+    return status.lookingAt() || status.hitEnd();
   }
 
-  private boolean statusOverlaps(int start) {
-    var status = STATUS.matcher(bytes).region(start, bytes.length());
-    return status.lookingAt() && status.end() > bodyEnd;
+  private static Matcher status(ByteBuf bytes, int at) {
+    int length = Math.min(STATUS_LENGTH, bytes.writerIndex() - at);
+    return EmbeddedHead.STATUS.matcher(bytes.toString(at, length, StandardCharsets.ISO_8859_1));
   }
 
-  /** Returns whether the body of a response whose head ends before the own body does not. */
-  private boolean bodyOverlaps(HttpResponse head, int from) {
-    if (!sentHere.test(head)) {
-      return false;
+  private void add(EmbeddedHead head, long place) {
+    if (head.mayGoOnAfter(place)) {
+      heads.addLast(head);
     }
-    if (HttpUtil.isTransferEncodingChunked(head)) {
-      int lastChunk = bytes.indexOf(LAST_CHUNK, from);
-      return lastChunk < 0 || lastChunk + LAST_CHUNK.length() > bodyEnd;
+    if (heads.size() > MAX_HEADS) {
+      heads.removeFirst();
     }
-    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH, "");
-    return length.matches("[0-9]{1,9}") && from + Integer.parseInt(length) > bodyEnd;
+  }
+
+  /**
+   * Judges the whole body.
+   *
+   * @param after all bytes received after the body so far
+   */
+  Verdict judge(ByteBuf after) {
+    if (heads.isEmpty()) {
+      return Verdict.WHOLE;
+    }
+    Matcher status = status(after, after.readerIndex());
+    if (status.lookingAt()) {
+      // The additional bytes are a response from its beginning.
+      return Verdict.WHOLE;
+    }
+    return status.hitEnd() ? Verdict.OPEN : judgeContinuation(after);
+  }
+
+  private Verdict judgeContinuation(ByteBuf after) {
+    int from = after.readerIndex() + bytesAfter;
+    ByteBuf unread = after.slice(from, after.writerIndex() - from);
+    heads.forEach(head -> head.readAfterBody(unread));
+    bytesAfter = after.readableBytes();
+    if (heads.stream().anyMatch(head -> head.overlaps(bodyBytes))) {
+      return Verdict.FILLED;
+    }
+    heads.removeIf(head -> !head.mayGoOnAfter(bodyBytes));
+    return heads.isEmpty() ? Verdict.WHOLE : Verdict.OPEN;
+  }
+
+  /** Returns whether the body ends so much like a response that the rest is worth a wait. */
+  boolean endsLikeResponse() {
+    return heads.stream().anyMatch(EmbeddedHead::isLikely);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
@@ -1,7 +1,6 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpConstants;
@@ -25,7 +24,7 @@
   private final IntPredicate acceptsBytes;
   private final Predicate<HttpResponse> hasNoBody;
   private HeadValidator validator;
-  private ByteBuf latestRead = Unpooled.EMPTY_BUFFER;
+  private boolean held;
   private boolean awaitingHead = true;
   private int checkedBytes;
   private int lineStart;
@@ -51,42 +50,31 @@
     return actualReadableBytes();
   }
 
+  /** Returns these bytes. */
+  ByteBuf undecoded() {
+    return internalBuffer();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     if (message instanceof ByteBuf bytes && !acceptsBytes.test(bytes.readableBytes())) {
       ReferenceCountUtil.release(message);
       return;
     }
-    if (message instanceof ByteBuf bytes) {
-      latestRead = bytes.retainedDuplicate();
-    }
-    try {
-      super.channelRead(context, message);
-    } finally {
-      latestRead.release();
-      latestRead = Unpooled.EMPTY_BUFFER;
-    }
+    super.channelRead(context, message);
   }
 
-  /**
-   * Returns whether another response begins in the body that has just ended, and goes on after it.
-   *
-   * @param bodyBytes length of the body
-   * @param sentHere returns whether a response has the id of a request of this connection
-   */
-  boolean bodyIsOverlapped(long bodyBytes, Predicate<HttpResponse> sentHere) {
-    String bytes = latestRead.toString(StandardCharsets.ISO_8859_1);
-    int bodyEnd = bytes.length() - undecodedBytes();
-    if (bodyEnd <= 0) {
-      return false;
-    }
-    int bodyStart = (int) Math.max(0, bodyEnd - bodyBytes);
-    return new OverlapCheck(bytes, bodyEnd, singularHeaders, sentHere).findsOverlap(bodyStart);
+  /** Stops decoding, so that further bytes are only kept, or goes on with it. */
+  void hold(boolean held) {
+    this.held = held;
   }
 
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
+    if (held) {
+      return;
+    }
     try {
       if (awaitingHead && !checkHead(buffer)) {
         return;
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -13,27 +13,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.server.proxy.ResponseListener.FailureKind;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a target: one request at a time; reused only after a complete response. */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
-  /** Most responses that are skipped before that to the request in progress. */
-  private static final int MAX_SKIPPED_RESPONSES = 8;
-
-  /** Most bytes of bodies that are skipped; a connection with more is not worth reading. */
-  private static final int MAX_SKIPPED_BYTES = 65_536;
-
   /** Longest time for the body of a skipped response; its length may cover the next response. */
   private static final long MAX_SKIPPED_BODY_MS = 250;
 
-  /** Number of the latest request ids that a connection does not carry again. */
-  private static final int MAX_SENT_IDS = 256;
-
   private final TargetPool pool;
   private final String address;
   private final Dialect dialect;
@@ -43,7 +32,7 @@
   private boolean skippingResponse;
   private boolean becomingIdle;
   private boolean carriesEngineCalls;
-  private final Set<String> sentIds = new LinkedHashSet<>();
+  private final SentIds sentIds = new SentIds();
   private boolean closing;
   private boolean keepAlive;
   private boolean failed;
@@ -69,10 +58,9 @@
     private boolean bytesReceived;
     private boolean headReceived;
     private boolean identified;
-    private boolean foreignResponse;
-    private int skippedResponses;
-    private int skippedBytes;
-    private long bodyBytes;
+    private final SkippedResponses skipped = new SkippedResponses();
+    private OverlapCheck body = newBody();
+    private @Nullable ResponseEnd end;
 
     ActiveCall(String requestId, boolean engineCall, HttpMethod method, ResponseListener listener) {
       this.requestId = requestId;
@@ -91,7 +79,7 @@
 
     @Override
     public void setReading(boolean reading) {
-      if (activeCall == this && channel != null) {
+      if (activeCall == this && channel != null && end == null) {
         channel.config().setAutoRead(reading);
       }
     }
@@ -144,9 +132,6 @@
 
   TargetCall send(String requestId, FullHttpRequest request, ResponseListener listener) {
     sentIds.add(requestId);
-    if (sentIds.size() > MAX_SENT_IDS) {
-      sentIds.remove(sentIds.iterator().next());
-    }
     return send(new ActiveCall(requestId, false, request.method(), listener), request);
   }
 
@@ -233,15 +218,15 @@
       acceptHead(head, call);
     }
     if (skippingResponse && message instanceof HttpContent skipped) {
-      call.skippedBytes += skipped.content().readableBytes();
+      call.skipped.recordBytes(skipped.content().readableBytes());
     }
-    if (call.skippedResponses > MAX_SKIPPED_RESPONSES || call.skippedBytes > MAX_SKIPPED_BYTES) {
+    if (call.skipped.tooMany()) {
       fail("too many bytes that belong to no request");
       return;
     }
     if (message instanceof HttpContent content && activeCall == call) {
-      call.bodyBytes += content.content().readableBytes();
       if (!skippingResponse && call.headReceived && content.content().isReadable()) {
+        call.body.readBody(content.content());
         callListener(call, () -> call.listener.onContent(content.content()));
       }
       if (message instanceof LastHttpContent && activeCall == call) {
@@ -258,12 +243,12 @@
       logForeignBytes("response without request id", decoder.undecodedBytes());
       fail("response without request id on a reused connection");
     } else if (informational) {
-      call.skippedResponses++;
+      call.skipped.recordHead(false);
     } else if (skippingResponse) {
       skipForeignResponse(head, call);
     } else {
       call.headReceived = true;
-      call.bodyBytes = 0;
+      call.body = newBody();
       call.identified = dialect.requestId(head).isPresent();
       keepAlive = HttpUtil.isKeepAlive(head);
       maxIdleNanos = KeepAlive.maxIdleNanos(head);
@@ -272,16 +257,15 @@
   }
 
   private void skipForeignResponse(HttpResponse head, ActiveCall call) {
-    call.skippedResponses++;
-    call.foreignResponse = true;
-    int skipped = call.skippedResponses;
+    call.skipped.recordHead(true);
+    int skipped = call.skipped.count();
     logForeignBytes(
         "response with status " + head.status().code() + " for another request",
         decoder.undecodedBytes());
     pool.loop()
         .schedule(
             () -> {
-              if (activeCall == call && skippingResponse && call.skippedResponses == skipped) {
+              if (activeCall == call && skippingResponse && call.skipped.count() == skipped) {
                 fail("another request's response does not end");
               }
             },
@@ -298,20 +282,32 @@
       fail("connection failed during the response");
       return;
     }
+    ResponseEnd end =
+        new ResponseEnd(pool.loop(), decoder, call.body, filled -> complete(call, filled));
+    call.end = end;
+    if (channel != null) {
+      channel.config().setAutoRead(true);
+    }
+    end.judge();
+  }
+
+  private void complete(ActiveCall call, boolean filled) {
+    if (activeCall != call) {
+      return;
+    }
     int undecoded = decoder.undecodedBytes();
     if (undecoded > 0) {
       logForeignBytes("bytes after the end of a response", undecoded);
-      if (decoder.bodyIsOverlapped(call.bodyBytes, this::isOfSentRequest)) {
-        fail("another response begins in the body");
-        return;
-      }
+    }
+    if (filled) {
+      fail("another response begins in the body");
+      return;
     }
     activeCall = null;
     completedResponses++;
     idleSince = System.nanoTime();
     Channel open = channel;
     if (undecoded == 0 && mayKeep(call) && open != null && open.isActive()) {
-      open.config().setAutoRead(true);
       becomingIdle = true;
     } else {
       close();
@@ -319,13 +315,16 @@
     callListener(call, call.listener::onComplete);
   }
 
-  private boolean isOfSentRequest(HttpResponse response) {
-    return dialect.requestId(response).filter(sentIds::contains).isPresent();
+  private OverlapCheck newBody() {
+    return new OverlapCheck(
+        dialect.singularResponseHeaders(),
+        response -> sentIds.contains(dialect.requestId(response)));
   }
 
   private boolean mayKeep(ActiveCall call) {
+    boolean certain = call.end != null && !call.end.waited() && !call.skipped.anyOfOtherRequest();
     boolean verified = call.engineCall || (call.identified && !call.requestId.isEmpty());
-    return keepAlive && call.requestWritten && verified && !call.foreignResponse;
+    return keepAlive && call.requestWritten && verified && certain;
   }
 
   /** Calls the listener; an exception that it throws is a failure of its request. */
@@ -344,6 +343,9 @@
   /** Makes the connection available again, unless the read has brought more than the response. */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
+    if (activeCall != null && activeCall.end != null) {
+      activeCall.end.onReadComplete();
+    }
     if (becomingIdle) {
       becomingIdle = false;
       pool.addIdle(this);
@@ -354,21 +356,17 @@
   private void logForeignBytes(String reason, int undecodedBytes) {
     ActiveCall call = activeCall;
     long idleNanos = call == null && completedResponses > 0 ? System.nanoTime() - idleSince : 0;
-    pool.log()
-        .write(
-            "foreign bytes from target",
-            "address",
-            address,
-            "reason",
-            reason,
-            "bytes",
-            undecodedBytes,
-            "request",
-            call == null ? "" : call.requestId,
-            "answered_before",
-            completedResponses,
-            "idle_ms",
-            TimeUnit.NANOSECONDS.toMillis(idleNanos));
+    String requestId = call == null ? "" : call.requestId;
+    new ForeignBytes(reason, undecodedBytes, requestId, completedResponses, idleNanos)
+        .log(pool.log(), address);
+  }
+
+  /** Called when the connection has ended; a response that was held back is complete. */
+  private void endConnection(String reason) {
+    if (activeCall != null && activeCall.end != null) {
+      activeCall.end.onNoMoreBytes();
+    }
+    fail(reason);
   }
 
   private void fail(String reason) {
@@ -386,11 +384,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail("connection failed: " + cause.getMessage());
+    endConnection("connection failed: " + cause.getMessage());
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    fail("connection closed by the target");
+    endConnection("connection closed by the target");
   }
 }
