A refusal of one request keeps no others from another VM

What callers saw: on a VM without links to its targets, beside a version that the other VMs did not hold yet, all of its requests were refused for a second after each one on the new route. The same after a request that was refused for a limit, or for a part that crashes targets.

Cause: each refusal of another VM counted as its failure, so it got no request for a second, although it would have served the others.

Change: only a VM that asks to go elsewhere at once, as one that stops or is cut off does, is left alone. A stream under way that is refused still waits for a second before it asks the same VM again.

Before, on: VersionsBetweenVmsTest.unknownRouteKeepsNoOtherRequestsFromTheOtherVm expected [200] but found [503].

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -39,7 +39,10 @@
     Optional<String> faulty = context.dialect().faultyAddress(response);
     faulty.ifPresent(
         address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
-    context.peers().recordFailure(from.peer());
+    // A stream under way asks again, but not all the time.
+    if (exchange.sender().progress().started() || RetryAfter.elsewhere(context, response)) {
+      context.peers().recordFailure(from.peer());
+    }
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
@@ -28,6 +28,12 @@
         : OptionalDouble.empty();
   }
 
+  /** Returns whether another VM asks that a third one serves all requests: it stops or is cut off. */
+  static boolean elsewhere(ProxyContext context, HttpResponse response) {
+    OptionalDouble seconds = context.dialect().deferralSeconds(response);
+    return seconds.isPresent() && seconds.getAsDouble() <= 2 * STOP_SECONDS;
+  }
+
   /** Returns headers that ask for a random time from 1 to 2 times the given one. */
   static HttpHeaders headers(ProxyContext context, double seconds) {
     HttpHeaders headers = HeaderCopies.empty();
--- a/server/src/test/java/org/clementinesail/server/proxy/VersionsBetweenVmsTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/VersionsBetweenVmsTest.java
@@ -150,6 +150,20 @@
     assertEquals(first.requests.size() + second.requests.size(), 1, bothLogs());
   }
 
+  /** A route that the other VM does not know yet keeps no other requests from it. */
+  @Test
+  public void unknownRouteKeepsNoOtherRequestsFromTheOtherVm() throws Exception {
+    startBoth(OK_RESPONSE);
+    List<Route> more = new ArrayList<>(routes(false));
+    more.add(relayRoute("new", Route.Kind.IDEMPOTENT, false));
+    applyHere(state(3, more, List.of(WORKSPACE), RequestLimits.DEFAULT));
+    for (int i = 0; i < 5; i++) {
+      assertEquals(status(call("POST", "/new/x", "Id: n" + i + "\r\n" + KEY, "x")), 503);
+      String served = call("POST", "/once/x", "Id: o" + i + "\r\n" + KEY, "x");
+      assertEquals(status(served), 200, served + bothLogs());
+    }
+  }
+
   private List<String> callOften(int caller) throws Exception {
     List<String> unanswered = new ArrayList<>();
     String[] paths = {"/safe/x", "/once/x", "/stream/x"};
