An error of another VM ends no stream that goes on here

What callers saw: a stream at a target that was silent for a second and went on was cut off after 0.4 s, if the links of its VM took no new connections meanwhile and the target behind the other VM failed.

Cause: the VM keeps the silent attempt open beside the one at the other VM, but a failure of the other VM at which the request may have run ended the request with both.

Change: the attempt that goes on is kept; the other VM's target counts as a possible run.

Before, on, two of four cases each of failureOfTheOtherVmEndsNoStreamThatGoesOnHere and versionsBesideASilentTargetEndNoStream (RelayedStreamTest, reset and close): lists don't have the same size expected [3] but found [2].

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -183,7 +183,7 @@
     context.peers().recordHeard(this);
     if (peer != null && RelayHeaders.isOfVm(response) && !RelayHeaders.isNotRun(response)) {
       cancel();
-      exchange.failures().onPartialResponseLost(this, "another VM could not serve the request");
+      exchange.failures().onUnknownAtPeer(this, "another VM could not serve the request");
       return;
     }
     boolean streamRoute = route != null && route.kind() == Route.Kind.STREAM;
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -162,6 +162,16 @@
     tryAnother(from, reason);
   }
 
+  /** Handles the error of another VM at which the request may have run. */
+  void onUnknownAtPeer(Attempt from, String reason) {
+    if (exchange.otherGoesOn(from, true)) {
+      log.responseLost(from.target().id(), reason);
+      excludedTargets.add(from.target().id());
+    } else {
+      onPartialResponseLost(from, reason);
+    }
+  }
+
   /** Fails a response that was partly sent to the caller and cannot be continued. */
   void onPartialResponseLost(Attempt from, String reason) {
     exchange.endAttempt();
