A stream under way waits for room at another VM

What callers saw: a stream under way that had to go on at another VM was cut off at once if the targets there had reached their limits or took nothing for a moment, although a VM that reaches its targets waits with it until its deadline.

Cause: a refusal of another VM with a time to come back ended the request. That is right for a request of which the caller has seen nothing, and which can be refused; a stream that has begun can only be cut.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -49,7 +49,8 @@
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
-    if (from.peer() != null && later.isPresent() && !otherGoesOn) {
+    boolean begun = exchange.sender().progress().started();
+    if (from.peer() != null && later.isPresent() && !otherGoesOn && !begun) {
       exchange.giveUp("another VM refused the request", later.getAsDouble());
     } else {
       retryAfterRefusal(from, otherGoesOn, "targets refused the request");
--- a/server/src/test/java/org/clementinesail/server/proxy/RelayedStreamTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/RelayedStreamTest.java
@@ -75,11 +75,54 @@
     assertWhole(response, bothLogs());
   }
 
+  /** Whether versions drop the route and the service meanwhile. */
+  @DataProvider
+  public Object[][] versions() {
+    return new Object[][] {{false}, {true}};
+  }
+
   private void applyBoth(long number, List<Route> routes) throws Exception {
     applyHere(state(number, routes, List.of(), RequestLimits.DEFAULT));
     applyAtPeer(state(number, routes, List.of(), RequestLimits.DEFAULT));
   }
 
+  /** A stream under way waits, as at one VM, until the other VM finds room for the rest of it. */
+  @Test(dataProvider = "versions")
+  public void streamUnderWayWaitsForRoomAtTheOtherVm(boolean versions) throws Exception {
+    addTargetOfPeer("t2", second);
+    second.script = request -> LIMITED;
+    peerLoop.submit(() -> peer.rateLimitReports().receiveGrants(List.of())).sync();
+    cutOff();
+    call("GET", "/safe/x", "Id: l1\r\n", "");
+    call("GET", "/safe/x", "Id: l2\r\n", "");
+    second.script = request -> stream(event(3));
+    loop.submit(() -> proxy.peers().checks().reachability().recordCheck("s", 3, 3, 0)).sync();
+    addOwnTarget("t1", first);
+    first.script =
+        request ->
+            EVENT_STREAM_HEAD
+                + "Content-Length: 99\r\n\r\n"
+                + event(1)
+                + event(2)
+                + ScriptedTarget.SILENCE
+                + ScriptedTarget.RESET;
+    Future<String> answer = callers.submit(() -> call("POST", "/stream3/x", "Id: r1\r\n", "x"));
+    awaitRequests(first, 1);
+    first.stopListening();
+    cutOff();
+    TimeUnit.MILLISECONDS.sleep(ScriptedTarget.SILENCE_MS);
+    if (versions) {
+      applyBoth(2, List.of());
+    }
+    TimeUnit.MILLISECONDS.sleep(600);
+    if (versions) {
+      applyBoth(3, List.of(relayRoute("stream3", Route.Kind.STREAM, true)));
+    }
+    Permits.Grant grant = new Permits.Grant(1, "t2", 1, 5);
+    peerLoop.submit(() -> peer.rateLimitReports().receiveGrants(List.of(grant))).sync();
+    assertWhole(answer, bothLogs());
+  }
+
   /** A stream that waits for a permit of a limit goes on, whatever versions come meanwhile. */
   @Test
   public void streamThatWaitsForAPermitOutlivesVersions() throws Exception {
