The idle limit of callers does not close connections between VMs

What callers saw: with a low idle_timeout_ms, or after a version that lowers it, orders of a VM without links to its targets ended with 502 ("connection closed by the target"), and for a second after each its callers were refused ("no target is available").

Cause: the serving VM closed the connections of other VMs by the idle limit of callers; a VM uses such a connection again for up to 3.3 s (1.5 s for orders), so a request could cross the close. It cannot be sent again: it may have run.

Change: on connections between VMs the idle limit is 15 s, whatever the version; longer than a VM uses one again.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -60,7 +60,7 @@
     this.context = context;
     this.server = server;
     this.body = new RequestBody(context.buffers());
-    this.idleTime = new IdleTime(() -> limits().idleTimeoutMillis());
+    this.idleTime = new IdleTime(context::idleTimeoutMillis);
   }
 
   @Override
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
@@ -1,6 +1,8 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.channel.EventLoop;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.desired.RequestLimits;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.server.logging.DecisionLog;
 
@@ -36,6 +38,20 @@
     ProxyMetrics metrics,
     DecisionLog log) {
 
+  /**
+   * Returns the longest idle time of a connection, in milliseconds. That of callers changes with
+   * the desired state; a VM uses its connections to others again for a fixed time.
+   */
+  long idleTimeoutMillis() {
+    return relayed
+        ? RequestLimits.DEFAULT.idleTimeoutMillis()
+        : routing
+            .desiredState()
+            .map(DesiredState::limits)
+            .orElse(RequestLimits.DEFAULT)
+            .idleTimeoutMillis();
+  }
+
   /** Returns the same objects for requests that other VMs send. */
   ProxyContext forRelayedRequests() {
     return new ProxyContext(
