Requests leave a VM that freezes while it serves them for another VM

What callers saw: streams and lookups of a VM without links to its targets waited until their deadline (504) if the VM that served them froze, and new requests went there, too.

Cause: only the end of the connection was noticed: another VM's silence may be that of its target.

Change: a VM that has requests of this one and has sent nothing for 0.2 s is asked for a sign of life on a connection of its own, which its event loop gives whatever its targets do (SignOfLife, PeerWatch). Without one for 0.7 s, counted only while this VM was awake, it has frozen (PeerLiveness, no input or output): streams and other requests that may be repeated get a second attempt elsewhere, beside the first, within their attempts and the retry budget; an order stays and is answered late or by its deadline; the VM gets no new requests for 3 s. A VM that refuses connections, as one that stops does, has not frozen. VMs that are not cut off ask nobody.

Before, on: FrozenVmTest.frozenVmGetsNoNewRequests and lookupLeavesAFrozenVm expected [200] but found [504], streamLeavesAFrozenVm in both cases expected [3] events but found [2] and [0]. silentTargetBehindAnotherVmIsNoFreeze, ownPauseIsNoFreezeOfAnotherVm and orderAtAFrozenVmRunsOnce passed before and after: they guard against taking a silent target or an own pause for a freeze. After: all tests of server/proxy, 1,036, no failure; CallerConnectionTest builds its objects with the new class, nothing else changed in it.

--- a/core/src/main/java/org/clementinesail/core/reachability/PeerPicker.java
+++ b/core/src/main/java/org/clementinesail/core/reachability/PeerPicker.java
@@ -15,6 +15,9 @@
   /** Time for which a VM that could not serve a request gets none. */
   private static final long AVOID_NANOS = 1_000_000_000L;
 
+  /** Time for which a VM that has frozen gets none. */
+  private static final long FROZEN_NANOS = 3_000_000_000L;
+
   /** Cost of a VM in another data centre, in requests in progress. */
   private static final double REMOTE_PENALTY = 2;
 
@@ -79,7 +82,21 @@
    * @param now current time in nanoseconds of the monotonic clock
    */
   public void recordFailure(String name, long now) {
-    avoidedUntil.put(name, now + AVOID_NANOS);
+    avoid(name, now + AVOID_NANOS);
+  }
+
+  /**
+   * Records that a VM gives no sign of life.
+   *
+   * @param name name of the VM
+   * @param now current time in nanoseconds of the monotonic clock
+   */
+  public void recordFrozen(String name, long now) {
+    avoid(name, now + FROZEN_NANOS);
+  }
+
+  private void avoid(String name, long until) {
+    avoidedUntil.merge(name, until, (a, b) -> a - b > 0 ? a : b);
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -94,6 +94,14 @@
     }
   }
 
+  /** Records a target that cannot be reached; a VM that has frozen may go on with the request. */
+  void recordIfDead(Attempt from, RoutingState.Destination next, Set<String> suspects) {
+    String target = from.target().id();
+    if (from.peer() == null && (next.peer() != null || suspects.contains(target))) {
+      counts.recordDeadTarget(target);
+    }
+  }
+
   /** Returns whether another target may get the request if an attempt is given up. */
   boolean mayRetry(Attempt from) {
     return mayContinue() && counts.mayRetry(from.route(), from.target().id());
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -181,9 +181,7 @@
     if (choice.isEmpty()) {
       return;
     }
-    if (choice.get().peer() != null || suspects.contains(from.target().id())) {
-      counts.recordDeadTarget(from.target().id());
-    }
+    failures.recordIfDead(from, choice.get(), suspects);
     log.pathSwitched("an engine on the path is at fault", progress().lastEventId());
     stalled.keep(from);
     send(choice.get(), chosen.engine(), false);
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -20,10 +20,12 @@
 
   private final PeerPicker peers;
   private final ReachabilityChecks checks;
+  private final PeerWatch watch;
 
-  PeerRelay(PeerPicker peers, ReachabilityChecks checks) {
+  PeerRelay(PeerPicker peers, ReachabilityChecks checks, PeerWatch watch) {
     this.peers = peers;
     this.checks = checks;
+    this.watch = watch;
   }
 
   /**
@@ -51,13 +53,26 @@
   }
 
   /**
-   * Returns whether the target of an attempt is silent because this VM is cut off from its service.
-   * If no target of the service sends anything, checks whether it is.
+   * Lets time pass for the VMs that have requests of this one.
+   *
+   * @param now current time in nanoseconds of the monotonic clock
+   */
+  void tick(long now) {
+    watch.tick(now);
+  }
+
+  /**
+   * Returns whether the VM that serves an attempt has frozen, or the target of an attempt is silent
+   * because this VM is cut off from its service. If no target of the service sends anything, checks
+   * whether it is.
    */
   boolean isSilenced(Attempt attempt, long now) {
     String service = attempt.target().service();
-    if (attempt.peer() != null
-        || !checks.reachability().isSilent(service, attempt.lastProgressAt(), now)) {
+    PeerVm peer = attempt.peer();
+    if (peer != null) {
+      return watch.isFrozen(peer);
+    }
+    if (!checks.reachability().isSilent(service, attempt.lastProgressAt(), now)) {
       return false;
     }
     checks.check(service);
@@ -66,8 +81,11 @@
 
   /** Records that a part of a response has arrived. */
   void recordHeard(Attempt from) {
-    if (from.peer() == null) {
+    PeerVm peer = from.peer();
+    if (peer == null) {
       checks.reachability().recordHeard(from.target().service(), System.nanoTime());
+    } else {
+      watch.recordHeard(peer);
     }
   }
 
@@ -119,6 +137,7 @@
   void recordBegin(@Nullable PeerVm peer) {
     if (peer != null) {
       peers.recordBegin(peer.name());
+      watch.recordBegin(peer);
     }
   }
 
@@ -126,6 +145,7 @@
   void recordEnd(@Nullable PeerVm peer) {
     if (peer != null) {
       peers.recordEnd(peer.name());
+      watch.recordEnd(peer);
     }
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -89,7 +89,7 @@
             faults,
             new CrashReports(loop, faults, routing, log),
             new RateLimitReports(loop, routing, checks, log),
-            new PeerRelay(peers, checks),
+            new PeerRelay(peers, checks, new PeerWatch(loop, peers, log)),
             false,
             new BufferLimit(),
             startupWait,
@@ -162,6 +162,9 @@
                         .setValidateHeaders(false);
                 channel.pipeline().addLast(new HttpServerCodec(config));
                 channel.pipeline().addLast(new RequestHeadCheck());
+                if (requestContext.relayed()) {
+                  channel.pipeline().addLast(new SignOfLife());
+                }
                 channel.pipeline().addLast(new CallerConnection(requestContext, ProxyServer.this));
               }
             })
@@ -223,6 +226,7 @@
 
   private void checkProgress() {
     long now = System.nanoTime();
+    context.peers().tick(now);
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.guardCheck(() -> exchange.checkProgress(now));
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
@@ -28,7 +28,9 @@
         : OptionalDouble.empty();
   }
 
-  /** Returns whether another VM asks that a third one serves all requests: it stops or is cut off. */
+  /**
+   * Returns whether another VM asks that a third one serves all requests: it stops or is cut off.
+   */
   static boolean elsewhere(ProxyContext context, HttpResponse response) {
     OptionalDouble seconds = context.dialect().deferralSeconds(response);
     return seconds.isPresent() && seconds.getAsDouble() <= 2 * STOP_SECONDS;
--- a/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CallerConnectionTest.java
@@ -45,6 +45,7 @@
     FaultDetector faults =
         new FaultDetector(
             routing, new EngineProbe(loop, pool, dialect), listenerCheck, checks, log);
+    PeerPicker peers = new PeerPicker("a", new Random(1));
     ProxyContext context =
         new ProxyContext(
             loop,
@@ -54,7 +55,7 @@
             faults,
             new CrashReports(loop, faults, routing, log),
             new RateLimitReports(loop, routing, checks, log),
-            new PeerRelay(new PeerPicker("a", new Random(1)), checks),
+            new PeerRelay(peers, checks, new PeerWatch(loop, peers, log)),
             false,
             new BufferLimit(),
             new StartupWait(System.nanoTime()),
