--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -39,14 +39,18 @@
     Optional<String> faulty = context.dialect().faultyAddress(response);
     faulty.ifPresent(
         address -> context.faults().markSuspect(address, "a refusal names it as faulty"));
-    context.peers().recordFailure(from.peer());
+    // A stream under way asks again, but not all the time.
+    if (exchange.sender().progress().started() || RetryAfter.elsewhere(context, response)) {
+      context.peers().recordFailure(from.peer());
+    }
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
-    if (from.peer() != null && later.isPresent() && !otherGoesOn) {
+    boolean begun = exchange.sender().progress().started();
+    if (from.peer() != null && later.isPresent() && !otherGoesOn && !begun) {
       exchange.giveUp("another VM refused the request", later.getAsDouble());
     } else {
       retryAfterRefusal(from, otherGoesOn, "targets refused the request");
@@ -90,6 +94,14 @@
     }
   }
 
+  /** Records a target that cannot be reached; a VM that has frozen may go on with the request. */
+  void recordIfDead(Attempt from, RoutingState.Destination next, Set<String> suspects) {
+    String target = from.target().id();
+    if (from.peer() == null && (next.peer() != null || suspects.contains(target))) {
+      counts.recordDeadTarget(target);
+    }
+  }
+
   /** Returns whether another target may get the request if an attempt is given up. */
   boolean mayRetry(Attempt from) {
     return mayContinue() && counts.mayRetry(from.route(), from.target().id());
@@ -164,9 +176,12 @@
    * VM has tried again already, if the route allows it.
    */
   void onOtherVmFailed(Attempt from) {
+    String reason = "another VM could not serve the request";
     excludedTargets.add(from.target().id());
-    if (!exchange.otherGoesOn(from, true)) {
-      onPartialResponseLost(from, "another VM could not serve the request");
+    if (exchange.otherGoesOn(from, true)) {
+      log.responseLost(from.target().id(), reason);
+    } else {
+      onPartialResponseLost(from, reason);
     }
   }
 
