A repeatable request is sent to the other VM once more if their kept connection ends

What callers saw: 502 for a lookup of a caller of a cut-off VM, when the connection that it had kept to the serving VM ended as the request came. With a third VM known the request went there, but counted as one run; routes with one attempt got 502 in any case.

Cause: a kept connection that ends before any answer makes a request go to the same place again, on a new connection. Exchange.resend looked for that place among the targets, where no VM is. Class: a case for targets was not made one for VMs.

Change: TargetChooser.chooseAgain knows both; a VM must still be listed and not be left alone after a failure.

--- a/core/src/main/java/org/clementinesail/core/reachability/PeerPicker.java
+++ b/core/src/main/java/org/clementinesail/core/reachability/PeerPicker.java
@@ -60,8 +60,7 @@
     PeerVm best = null;
     double lowest = Double.MAX_VALUE;
     for (PeerVm peer : peers) {
-      Long until = avoidedUntil.get(peer.name());
-      boolean avoided = until != null && now - until < 0;
+      boolean avoided = isAvoided(peer, now);
       double remote = peer.dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY;
       double cost = inProgress.getOrDefault(peer.name(), 0) + remote + random.nextDouble();
       if (!avoided && !excluded.contains(peer.targetId()) && cost < lowest) {
@@ -72,6 +71,21 @@
     return Optional.ofNullable(best);
   }
 
+  private boolean isAvoided(PeerVm peer, long now) {
+    Long until = avoidedUntil.get(peer.name());
+    return until != null && now - until < 0;
+  }
+
+  /**
+   * Returns whether a VM is known and may get requests.
+   *
+   * @param peer the VM
+   * @param now current time in nanoseconds of the monotonic clock
+   */
+  public boolean isAvailable(PeerVm peer, long now) {
+    return peers.contains(peer) && !isAvoided(peer, now);
+  }
+
   /**
    * Records that a VM could not serve a request.
    *
--- a/core/src/test/java/org/clementinesail/core/reachability/PeerPickerTest.java
+++ b/core/src/test/java/org/clementinesail/core/reachability/PeerPickerTest.java
@@ -1,6 +1,7 @@
 package org.clementinesail.core.reachability;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
@@ -51,6 +52,16 @@
     assertEquals(picker.pick(others, later).orElseThrow(), NEAR);
   }
 
+  /** A VM that failed just now, or is not listed any more, gets no request once more. */
+  @Test
+  public void failedOrUnlistedVmIsNotAvailable() {
+    picker.recordFailure("near", 0);
+    assertFalse(picker.isAvailable(NEAR, 1));
+    assertTrue(picker.isAvailable(NEAR, TimeUnit.SECONDS.toNanos(1)));
+    picker.peers(List.of(FAR));
+    assertFalse(picker.isAvailable(NEAR_TOO, 1));
+  }
+
   /** A VM that ended its requests counts as free again. */
   @Test
   public void endedRequestsDoNotCount() {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -215,8 +215,7 @@
     }
     long now = System.nanoTime();
     String id = from.target().id();
-    Optional<RoutingState.Destination> again =
-        context.routing().sameDestination(chosen.name(), id, from.path(), now);
+    Optional<RoutingState.Destination> again = chooser.chooseAgain(chosen, from, now);
     if (again.isEmpty() || partGuard.refusedSeconds(now).isPresent()) {
       return false;
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -91,6 +91,15 @@
     return peers.pick(excluded, now).map(peer -> destination(service, peer, now));
   }
 
+  /**
+   * Returns a VM that has had a request as the destination of it, or empty if it is to be avoided.
+   */
+  Optional<RoutingState.Destination> chooseAgain(Service service, PeerVm peer, long now) {
+    return peers.isAvailable(peer, now)
+        ? Optional.of(destination(service, peer, now))
+        : Optional.empty();
+  }
+
   private static RoutingState.Destination destination(Service service, PeerVm peer, long now) {
     TargetStatement statement =
         new TargetStatement(
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.clementinesail.core.desired.Service;
+import org.clementinesail.core.reachability.PeerVm;
 
 /** Decides where one request is sent next, or why it is not sent. */
 final class TargetChooser {
@@ -100,6 +101,14 @@
     return target.isEmpty() && peerMayHelp ? choosePeer(service, now) : target;
   }
 
+  /** Returns where an attempt was sent, target or other VM, or empty if that takes none now. */
+  Optional<RoutingState.Destination> chooseAgain(Service service, Attempt from, long now) {
+    PeerVm peer = from.peer();
+    return peer == null
+        ? context.routing().sameDestination(service.name(), from.target().id(), from.path(), now)
+        : context.peers().chooseAgain(service, peer, now);
+  }
+
   /** Takes a retry from the budget if there is one and a destination; returns the destination. */
   Optional<RoutingState.Destination> acquireRetry(Service service, long now) {
     return context.routing().acquireRetry(service, () -> chooseDestination(service, now));
