A begun stream waits for its next attempt instead of being cut off

What callers saw: streams that had begun were cut off within 40 ms to some seconds, with most of their time left, when a VM lost its links (or its targets refused for a moment) and the retry budget was empty, four refusals had come, or the other VMs refused.

Cause: where no attempt was possible just now, a request whose stream had begun was given up like one that can still be refused. Only the lack of a target made it wait. Refusals come each 25 ms, so four of them are a tenth of a second.

Change: AttemptFailures.retryLater lets such a stream wait (TargetWait) and tries again every 500 ms until its deadline, as far as the route's attempts and the retry budget allow. A request of another VM still ends, as the VM that holds the caller decides.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.clementinesail.core.desired.Route;
+import org.jspecify.annotations.Nullable;
 
 /** Decides what follows when an attempt of a request has failed. */
 final class AttemptFailures {
@@ -16,6 +18,7 @@
   private final PartGuard partGuard;
   private final TargetChooser chooser;
   private final ExchangeLog log;
+  private final TargetWait targetWait = new TargetWait();
 
   AttemptFailures(
       Exchange exchange,
@@ -47,7 +50,7 @@
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
     if (from.peer() != null && later.isPresent() && !otherGoesOn) {
-      exchange.giveUp("another VM refused the request", later.getAsDouble());
+      retryLater(from.route(), "another VM refused the request", later.getAsDouble());
     } else {
       retryAfterRefusal(from, otherGoesOn, "targets refused the request");
     }
@@ -84,12 +87,32 @@
       return;
     }
     if (counts.refusalLimitReached()) {
-      exchange.giveUp(reason);
+      retryLater(from.route(), reason, RetryAfter.SECONDS);
     } else {
       tryAnother(from, reason);
     }
   }
 
+  /** Returns the wait of the request for a target. */
+  TargetWait targetWait() {
+    return targetWait;
+  }
+
+  /**
+   * Gives up a request, unless its caller has got a part of a stream that another attempt may
+   * continue: that caller cannot be refused any more, and waits until the deadline. A request of
+   * another VM ends, as that VM decides.
+   */
+  void retryLater(@Nullable Route route, String reason, double retryAfterSeconds) {
+    boolean begun = exchange.sender().progress().started();
+    if (begun && mayContinue() && counts.mayTryAnother(route) && !context.relayed()) {
+      log.waits(reason);
+      targetWait.begin(System.nanoTime() + TargetWait.STREAM_PAUSE_NANOS);
+    } else {
+      exchange.giveUp(reason, retryAfterSeconds);
+    }
+  }
+
   /** Returns whether another target may get the request if an attempt is given up. */
   boolean mayRetry(Attempt from) {
     return mayContinue() && counts.mayRetry(from.route(), from.target().id());
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -44,7 +44,6 @@
   private long deadline = Long.MAX_VALUE;
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
-  private boolean awaitingTarget;
   private boolean awaitingState;
   private long resolvedAt;
   private boolean checkFailed;
@@ -117,12 +116,12 @@
     long now = System.nanoTime();
     var decision = chooser.choose(chosen, progress().started(), resolvedAt, now);
     if (decision instanceof TargetChooser.Send send) {
-      awaitingTarget = false;
+      failures.targetWait().end();
       sendWithinBudget(send.destination(), chosen, false);
     } else if (decision instanceof TargetChooser.GiveUp giveUp) {
       giveUp(giveUp.reason(), giveUp.retryAfterSeconds());
     } else {
-      awaitingTarget = true;
+      failures.targetWait().begin(now);
       excludedTargets.clear();
     }
   }
@@ -133,7 +132,7 @@
         || context.routing().retryBudget(chosen.name()).tryAcquireRetry()) {
       send(choice, chosen.engine(), newConnection);
     } else {
-      giveUp("the retry budget is used up");
+      failures.retryLater(route, "the retry budget is used up", RetryAfter.SECONDS);
     }
   }
 
@@ -158,7 +157,7 @@
       return;
     } else if (awaitingState) {
       start(now);
-    } else if (awaitingTarget) {
+    } else if (failures.targetWait().isOver(now)) {
       tryNextTarget();
     } else if (current != null) {
       current.checkProgress(now);
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -67,6 +67,11 @@
         lastEventId);
   }
 
+  /** Logs that a stream which has begun waits, as no attempt is possible now. */
+  void waits(String reason) {
+    log.write("waits", "request", requestId, "reason", reason, "after_ms", ageMillis());
+  }
+
   void retriedAfterServerError(String target, int status) {
     log.write("repeated after failure", "request", requestId, "target", target, "status", status);
   }
