A silent stream is not ended by a 500 that another VM passes on

What callers saw: 500 for a stream whose target was silent for a second before its head, while its VM was refused by all targets and another VM had got the request as a second attempt; the first attempt was open and answered 200.

Cause: AttemptFailures.retryAfterServerError left at once if the answer came from another VM, as that VM has tried again already, and so didn't ask whether the other attempt goes on. Class: as with the failure that another VM states.

Change: it asks that first; without another attempt the status is passed on as before.

Evidence: SilencedStreamTest.streamBeginsIfTheOtherVmPassesOnAFailure got 500 before, the whole stream now (5 tests of the class); with CutOffTest, SilentEngineTest, ResponseFailureTest, RetryLimitTest, StaleVmConnectionTest, TwoHopHeadersTest and TwoHopMixTest 86 tests pass.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -180,8 +180,7 @@
 
   /** Retries a request after a 5xx status; returns false if the status is to be passed on. */
   boolean retryAfterServerError(Attempt from, HttpResponse response) {
-    // Another VM has tried again already, if the route allows it.
-    if (response.status().codeClass() != HttpStatusClass.SERVER_ERROR || from.peer() != null) {
+    if (response.status().codeClass() != HttpStatusClass.SERVER_ERROR) {
       return false;
     }
     String target = from.target().id();
@@ -189,6 +188,10 @@
       excludedTargets.add(target);
       return true;
     }
+    // Another VM has tried again already, if the route allows it.
+    if (from.peer() != null) {
+      return false;
+    }
     excludedTargets.add(target);
     if (!mayRetry(from) || !chooser.hasRetry(from.target().service(), System.nanoTime())) {
       return false;
