RetryBudgetTest refuses connections on ports that never listened

Seen: an order got 502 instead of 200 after a target's port had been closed.

Cause: the test, not the product. The proxy then sends the order to a target that resets the connection. It can't know whether that target has read the order, so 502 is right.

Change: the test holds ports by sockets that are bound and never listen, so each connect is refused, and no other process gets the port. It claims the same, in as many rounds, and a failure prints the log. ScriptedTarget waits for its accepting thread when it stops listening, which its other users need as well.

--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -148,8 +148,13 @@
 
   /** Announces a target; one in data centre "a", that of the proxy, is preferred. */
   void addTarget(String id, ScriptedTarget target, String dataCentre) throws Exception {
+    addTarget(id, target.address(), dataCentre);
+  }
+
+  /** Announces a target at an IP address and port. */
+  void addTarget(String id, String address, String dataCentre) throws Exception {
     TargetStatement statement =
-        new TargetStatement(id, "s", target.address(), dataCentre, 8, Phase.READY, "", null, 1, 1);
+        new TargetStatement(id, "s", address, dataCentre, 8, Phase.READY, "", null, 1, 1);
     loop.submit(() -> routing.fleet().recordStatement(statement, System.nanoTime())).sync();
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/RetryBudgetTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/RetryBudgetTest.java
@@ -2,11 +2,20 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
 /** Tests which attempts of a request need the budget of retries, with a budget of two. */
 public final class RetryBudgetTest extends ProxyTest {
+  /** Sockets that hold a port on which nothing ever listens. */
+  private final List<Socket> reserved = new ArrayList<>();
+
   @Override
   RoutingState.Settings settings() {
     return new RoutingState.Settings("a", TimeUnit.HOURS.toNanos(1), 0, 4);
@@ -14,10 +23,20 @@
 
   private void addTargetsThatDoNotListen(int first, int count) throws Exception {
     for (int i = first; i < first + count; i++) {
-      ScriptedTarget closed = new ScriptedTarget();
-      addTarget("closed" + i, closed, "a");
-      closed.close();
+      Socket neverListens = new Socket();
+      reserved.add(neverListens);
+      neverListens.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      addTarget("closed" + i, "127.0.0.1:" + neverListens.getLocalPort(), "a");
+    }
+  }
+
+  /** Gives the ports back that refused connections. */
+  @AfterMethod(alwaysRun = true)
+  public void releasePorts() throws Exception {
+    for (Socket socket : reserved) {
+      socket.close();
     }
+    reserved.clear();
   }
 
   /** A target that refuses the connection has got nothing, so that the next one is no retry. */
@@ -28,7 +47,7 @@
     for (int i = 0; i < 5; i++) {
       addTargetsThatDoNotListen(i, 1);
       for (int k = 0; k < 6; k++) {
-        assertEquals(status(call("POST", "/once/x", "", "pay")), 200, "round " + i);
+        assertEquals(status(call("POST", "/once/x", "", "pay")), 200, "round " + i + logged());
       }
     }
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ScriptedTarget.java
@@ -50,21 +50,23 @@
   volatile boolean endlessRunning;
   final AtomicLong bytesRepeated = new AtomicLong();
   private final ServerSocket listening;
+  private final Thread acceptor;
   private final List<Socket> open = new CopyOnWriteArrayList<>();
 
   ScriptedTarget() throws IOException {
     listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    daemon(this::accept);
+    acceptor = daemon(this::accept);
   }
 
   String address() {
     return "127.0.0.1:" + listening.getLocalPort();
   }
 
-  private static void daemon(Runnable task) {
+  private static Thread daemon(Runnable task) {
     Thread thread = new Thread(task, "scripted-target");
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 
   private void accept() {
@@ -141,6 +143,8 @@
   /** Accepts no further connections; the open ones stay open. */
   void stopListening() throws IOException {
     listening.close();
+    // The port takes connections for as long as a thread waits on it.
+    Uninterruptibles.joinUninterruptibly(acceptor);
   }
 
   /** Returns how many connections were accepted. */
@@ -183,7 +187,7 @@
 
   @Override
   public void close() throws IOException {
-    listening.close();
+    stopListening();
     for (Socket socket : open) {
       socket.close();
     }
