Let the stand-ins of a third VM name their target, and bind test ports safely

Four cases of StopBetweenVmsTest and four of FrozenVmTest failed on the joined code: their third VM is a script that did not say which target its answer is of, as each VM does and demands. It says so now; the checks are as they were. TwoHopEndTest failed once, as something else had taken a port between its choice and its use; UnusedPort tries another one.

--- a/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/CutOffTest.java
@@ -62,11 +62,8 @@
             wait,
             new ProxyMetrics(),
             log);
-    try (ServerSocket socket = new ServerSocket(0)) {
-      relayPort = socket.getLocalPort();
-    }
     peer.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    peer.listenForPeers(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort));
+    relayPort = UnusedPort.listen(peer::listenForPeers);
     applyDesiredState();
     peerLoop.submit(() -> peerRouting.desiredState(routing.desiredState().orElseThrow())).sync();
     PeerVm vm = new PeerVm("peer", "127.0.0.1:" + relayPort, "a");
--- a/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/DeadlyPartTest.java
@@ -9,8 +9,6 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -87,10 +85,7 @@
             new ProxyMetrics(),
             log);
     proxy.crashReports().sender(sent::addAll);
-    try (ServerSocket socket = new ServerSocket(0)) {
-      port = socket.getLocalPort();
-    }
-    proxy.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    port = UnusedPort.listen(proxy::listen);
     applyDesiredState();
     for (int i = 0; i < ENGINES; i++) {
       addEngine("e" + i);
--- a/server/src/test/java/org/clementinesail/server/proxy/FrozenVmTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FrozenVmTest.java
@@ -44,7 +44,7 @@
     cutOff();
     addTargetOfPeer("t1", first);
     first.script = request -> answer;
-    second.script = request -> answerOfThirdVm;
+    second.script = request -> ofVm(answerOfThirdVm);
     knowPeers(peerVm(), new PeerVm("third", second.address(), "b"));
   }
 
@@ -75,9 +75,10 @@
     start(answer, stream(event(1) + event(2) + event(3)));
     second.script =
         request ->
-            request.contains("After: 2")
-                ? stream(event(3))
-                : stream(event(1) + event(2) + event(3));
+            ofVm(
+                request.contains("After: 2")
+                    ? stream(event(3))
+                    : stream(event(1) + event(2) + event(3)));
     Future<String> response = begin("/stream/x");
     freeze(peerLoop);
     long start = System.nanoTime();
@@ -117,7 +118,7 @@
   @Test
   public void orderAtAFrozenVmRunsOnce() throws Exception {
     start(ScriptedTarget.PAUSE + ScriptedTarget.PAUSE + ScriptedTarget.PAUSE + OK_RESPONSE, "");
-    second.script = request -> OK_RESPONSE;
+    second.script = request -> ofVm(OK_RESPONSE);
     Future<String> response = callers.submit(() -> call("POST", "/once/x", "Id: f2\r\n", "x"));
     awaitRequests(first, 1);
     freeze(peerLoop);
--- a/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ProxyTest.java
@@ -8,8 +8,6 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -69,10 +67,7 @@
     proxy =
         new ProxyServer(
             loop, dialect, engineDialect, routing, startupWait, new ProxyMetrics(), log);
-    try (ServerSocket socket = new ServerSocket(0)) {
-      port = socket.getLocalPort();
-    }
-    proxy.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    port = UnusedPort.listen(proxy::listen);
     first = new ScriptedTarget();
     second = new ScriptedTarget();
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/StopBetweenVmsTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/StopBetweenVmsTest.java
@@ -56,7 +56,7 @@
 
   /** Adds another VM in another data centre, which answers as its targets do. */
   private void addThirdVm(String answer) throws Exception {
-    second.script = request -> answer;
+    second.script = request -> ofVm(answer);
     knowPeers(peerVm(), new PeerVm("third", second.address(), "b"));
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopTest.java
@@ -9,8 +9,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -60,10 +58,8 @@
             new StartupWait(System.nanoTime() - TimeUnit.SECONDS.toNanos(1)),
             new ProxyMetrics(),
             new DecisionLog("serving", logStream));
-    servingPort = unusedPort();
-    relayPort = unusedPort();
-    serving.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), servingPort));
-    serving.listenForPeers(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort));
+    servingPort = UnusedPort.listen(serving::listen);
+    relayPort = UnusedPort.listen(serving::listenForPeers);
     applyDesiredState();
     servingLoop
         .submit(() -> servingRouting.desiredState(routing.desiredState().orElseThrow()))
@@ -80,12 +76,6 @@
     servingGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
-  private static int unusedPort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   /** Makes the cut VM send its requests to an address in place of a target. */
   void servedBy(String address) throws Exception {
     PeerVm vm = new PeerVm("serving", address, "a");
@@ -97,7 +87,7 @@
     long now = System.nanoTime();
     TargetStatement real = statement(id, target.address(), dataCentre);
     servingLoop.submit(() -> servingRouting.fleet().recordStatement(real, now)).sync();
-    TargetStatement cut = statement(id, "127.0.0.1:" + unusedPort(), dataCentre);
+    TargetStatement cut = statement(id, "127.0.0.1:" + UnusedPort.find(), dataCentre);
     loop.submit(() -> routing.fleet().recordStatement(cut, now)).sync();
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/TwoVmTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoVmTest.java
@@ -8,7 +8,6 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -67,11 +66,8 @@
             wait,
             new ProxyMetrics(),
             new DecisionLog("peer", logStream));
-    try (ServerSocket socket = new ServerSocket(0)) {
-      relayPort = socket.getLocalPort();
-    }
     peer.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    peer.listenForPeers(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort));
+    relayPort = UnusedPort.listen(peer::listenForPeers);
     applyDesiredState();
     peerLoop.submit(() -> peerRouting.desiredState(routing.desiredState().orElseThrow())).sync();
     knowPeers(peerVm());
@@ -106,6 +102,11 @@
     peerLoop.submit(() -> peerRouting.fleet().recordStatement(statement, System.nanoTime())).sync();
   }
 
+  /** Returns a target's answer as a VM passes it on: it says which target that is. */
+  static String ofVm(String answer) {
+    return answer.replaceFirst("\r\n", "\r\nRelay-Target: 1 t9\r\n");
+  }
+
   /** Returns the log lines of both VMs. */
   String bothLogs() {
     return logged() + "-- other VM:\n" + peerLogged.toString(StandardCharsets.UTF_8);
