A caller's request is not taken for another VM's question for a sign of life

What callers of a cut-off VM saw: 502 for a request with the header Relay-Alive. Cause: the header that asks for a sign of life was not among those between VMs that are removed from callers' requests, so that the serving VM answered the request itself, without proof. Class: as in, a header of our own protocol that is set where needed and not removed elsewhere. Change: it stands in RelayHeaders with the others. TwoHopHeadersTest.headersBetweenVmsFromCallersAreNotObeyed: 502 before, 200 now; 21 tests of the class pass.

--- a/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
@@ -22,9 +22,12 @@
   /** Start and id of the target whose answer this is, with a space between them. */
   private static final String TARGET = "Relay-Target";
 
+  /** Marks a request for a sign of life; see {@link SignOfLife}. */
+  static final String ALIVE = "Relay-Alive";
+
   private static final String NOT_RUN = "not-run";
   private static final String UNKNOWN = "unknown";
-  private static final List<String> ALL = List.of(EARLIER_RUNS, OUTCOME, TARGET);
+  private static final List<String> ALL = List.of(EARLIER_RUNS, OUTCOME, TARGET, ALIVE);
 
   private RelayHeaders() {}
 
--- a/server/src/main/java/org/clementinesail/server/proxy/SignOfLife.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/SignOfLife.java
@@ -23,8 +23,6 @@
  * on. Only on connections between VMs.
  */
 final class SignOfLife extends ChannelInboundHandlerAdapter {
-  private static final String HEADER = "Relay-Alive";
-
   private static final String CUT_OFF_START =
       HttpVersion.HTTP_1_1 + " " + HttpResponseStatus.SERVICE_UNAVAILABLE.codeAsText();
 
@@ -50,14 +48,14 @@
   static FullHttpRequest request() {
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.OPTIONS, "*");
-    request.headers().set(HttpHeaderNames.HOST, "vm").set(HEADER, "1");
+    request.headers().set(HttpHeaderNames.HOST, "vm").set(RelayHeaders.ALIVE, "1");
     return request;
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof HttpRequest request) {
-      asked = request.decoderResult().isSuccess() && request.headers().contains(HEADER);
+      asked = request.decoderResult().isSuccess() && request.headers().contains(RelayHeaders.ALIVE);
     }
     if (!asked) {
       context.fireChannelRead(message);
--- a/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/TwoHopHeadersTest.java
@@ -119,7 +119,8 @@
     addTargetBehindCut("t2", second, "b");
     first.script = request -> ScriptedTarget.RESET;
     second.script = ProxyTest::identifiedResponse;
-    String headers = "Relay-Earlier-Runs: 9\r\nRelay-Outcome: not-run\r\nRelay-Target: 1 t2\r\n";
+    String headers =
+        "Relay-Earlier-Runs: 9\r\nRelay-Outcome: not-run\r\nRelay-Target: 1 t2\r\nRelay-Alive: 1\r\n";
     String response = call("POST", "/lookup/x", headers, "x");
     assertEquals(status(response), 200, response + describe());
     assertFalse(second.requests.get(0).contains("Relay-"), second.requests.get(0));
