--- a/server/src/test/java/org/clementinesail/server/proxy/FrozenVmTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FrozenVmTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.reachability.PeerVm;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -155,6 +156,22 @@
     assertEquals(calls(), 0, bothLogs());
   }
 
+  /**
+   * A VM that has closed its port for a planned stop, and waits for a silent target, has not
+   * frozen.
+   */
+  @Test
+  public void stopOfTheServingVmIsNoFreeze() throws Exception {
+    start(stream(event(1) + ScriptedTarget.SILENCE + event(2)), stream(event(2)));
+    Future<String> response = begin("/stream/x");
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    peerLoop.submit(() -> peer.drain(new PlannedStop(end, end))).sync();
+    peerLoop.submit(() -> peer.stopAcceptingAndCheckIdle(0)).sync();
+    String whole = response.get(20, TimeUnit.SECONDS);
+    assertEquals(events(whole), List.of("e1", "e2"), whole + bothLogs());
+    assertEquals(calls(), 0, bothLogs());
+  }
+
   /** A VM that stands still itself takes no other VM for frozen. */
   @Test
   public void ownPauseIsNoFreezeOfAnotherVm() throws Exception {
