Another VM takes each head that a VM has taken from its caller

What callers saw: a request whose head is within a few dozen bytes of the largest one got 431 on a VM without links to its targets, and was served on the others.

Cause: the VM adds a header for the one that serves in its place, whose limit for heads was the same.

Change: on connections between VMs the limit is 1 KiB higher.

Before: RelayedHeadTest.largestHeadIsServedByAnotherVm expected [200] but found [431]. After: -Dtest='RelayedHeadTest,CutOffTest,RequestFramingTest,ProxyServerTest', 116 tests, no failure.

--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -43,6 +43,9 @@
 
   private static final int MAX_REQUEST_LINE_BYTES = 16_384;
 
+  /** Most bytes that another VM adds to the headers of its caller. */
+  private static final int MAX_RELAY_HEADER_BYTES = 1_024;
+
   /** Bytes queued for a caller above which reading from its target pauses. */
   private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
       new WriteBufferWaterMark(32 * 1_024, 64 * 1_024);
@@ -154,7 +157,8 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                int head = RequestLimits.DEFAULT.maxHeaderBytes();
+                int added = requestContext.relayed() ? MAX_RELAY_HEADER_BYTES : 0;
+                int head = RequestLimits.DEFAULT.maxHeaderBytes() + added;
                 HttpDecoderConfig config =
                     new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
