EngineClientTest does not depend on the time of a probe

Seen: beside heavy load a step failed, as the first probe of the engine had no answer within 400 ms.

Cause: the test. It says that a step isn't sent again while the engine may still read it, but ran with the client's time for a probe, which a slow machine exceeds; the client then rightly takes the engine for silent.

Change: the waits of EngineClient are a parameter, with the same values by default. The test gives a probe 30 s and the first read 60 s, and it decides the order: the step is answered while the second probe is pending, and that probe is answered after it, so no third one is due.

--- a/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
+++ b/server/src/main/java/org/clementinesail/server/targets/EngineClient.java
@@ -44,16 +44,19 @@
 public final class EngineClient implements Engines {
   private static final MediaType JSON = MediaType.get("application/json");
 
-  /** Interval of probes while a step has no response. */
-  private static final Duration PROBE_INTERVAL = Duration.ofMillis(250);
-
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
-
   /**
-   * How long an engine may take to read the first request on a new connection before the connection
-   * counts as lost; a process that has just started is still loading classes.
+   * How long the client waits for an engine.
+   *
+   * @param probeInterval interval of probes while a step has no response
+   * @param probeTimeout timeout of a probe
+   * @param firstReadTimeout how long an engine may take to read the first request on a new
+   *     connection before the connection counts as lost; a process that has just started is still
+   *     loading classes
    */
-  private static final Duration FIRST_READ_TIMEOUT = Duration.ofSeconds(2);
+  record Waits(Duration probeInterval, Duration probeTimeout, Duration firstReadTimeout) {
+    static final Waits DEFAULT =
+        new Waits(Duration.ofMillis(250), Duration.ofMillis(400), Duration.ofSeconds(2));
+  }
 
   private static final int HTTP_CONFLICT = 409;
   private static final int MAX_IDLE_CONNECTIONS_PER_TARGET = 64;
@@ -63,6 +66,7 @@
   private final OkHttpClient baseClient;
   private final OkHttpClient newConnectionClient;
   private final Duration stepTimeout;
+  private final Waits waits;
   private final Map<String, OkHttpClient> pooledClients = new ConcurrentHashMap<>();
 
   /**
@@ -74,8 +78,13 @@
    *     StepFailure#SILENT}
    */
   public EngineClient(ObjectMapper mapper, Duration connectTimeout, Duration stepTimeout) {
+    this(mapper, connectTimeout, stepTimeout, Waits.DEFAULT);
+  }
+
+  EngineClient(ObjectMapper mapper, Duration connectTimeout, Duration stepTimeout, Waits waits) {
     this.mapper = mapper;
     this.stepTimeout = stepTimeout;
+    this.waits = waits;
     Dispatcher dispatcher = new Dispatcher();
     dispatcher.setMaxRequests(Integer.MAX_VALUE);
     dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
@@ -161,10 +170,11 @@
     httpCall.enqueue(new StepCallback(answer));
     long now = System.nanoTime();
     long deadline = now + stepTimeout.toNanos();
-    long firstReadDeadline = now + FIRST_READ_TIMEOUT.toNanos();
+    long firstReadDeadline = now + waits.firstReadTimeout().toNanos();
     while (true) {
       try {
-        return new StepAttempt(answer.get(PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS), false);
+        return new StepAttempt(
+            answer.get(waits.probeInterval().toMillis(), TimeUnit.MILLISECONDS), false);
       } catch (TimeoutException e) {
         boolean firstReadPending =
             connection.newConnection && System.nanoTime() - firstReadDeadline < 0;
@@ -233,7 +243,8 @@
   }
 
   private ProbeResult probe(TargetDescription target, String requestId) {
-    OkHttpClient client = newConnectionClient.newBuilder().callTimeout(PROBE_TIMEOUT).build();
+    OkHttpClient client =
+        newConnectionClient.newBuilder().callTimeout(waits.probeTimeout()).build();
     Request request =
         new Request.Builder().url(target.address() + "/v1/health?request=" + requestId).build();
     try (Response response = client.newCall(request).execute()) {
--- a/server/src/test/java/org/clementinesail/server/targets/EngineClientTest.java
+++ b/server/src/test/java/org/clementinesail/server/targets/EngineClientTest.java
@@ -39,12 +39,14 @@
   private ExecutorService threads;
   private volatile IntPredicate shouldHoldStep;
   private volatile CountDownLatch probesBeforeAnswer;
+  private volatile CountDownLatch stepAnswered;
 
   /** Starts an engine that delays its response to selected steps until it has been probed. */
   @BeforeMethod
   public void startEngine() throws IOException {
     steps.set(0);
     probes.set(0);
+    stepAnswered = new CountDownLatch(1);
     threads = Executors.newCachedThreadPool();
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(threads);
@@ -86,8 +88,13 @@
     assertEquals(steps.get(), 3);
   }
 
+  /** A client that gives a slow machine time; how long it is patient is not tested here. */
   private static EngineClient client() {
-    return new EngineClient(new ObjectMapper(), Duration.ofSeconds(5), Duration.ofSeconds(60));
+    EngineClient.Waits waits =
+        new EngineClient.Waits(
+            Duration.ofMillis(500), Duration.ofSeconds(30), Duration.ofSeconds(60));
+    return new EngineClient(
+        new ObjectMapper(), Duration.ofSeconds(30), Duration.ofSeconds(60), waits);
   }
 
   private StepCall call() {
@@ -104,21 +111,31 @@
 
   private void health(HttpExchange exchange) throws IOException {
     probes.incrementAndGet();
-    respond(exchange, HEALTH_RESPONSE);
     probesBeforeAnswer.countDown();
+    if (probesBeforeAnswer.getCount() == 0) {
+      // No further probe is due once the step has been answered.
+      awaitOrInterrupt(stepAnswered);
+    }
+    respond(exchange, HEALTH_RESPONSE);
+  }
+
+  private static boolean awaitOrInterrupt(CountDownLatch latch) {
+    try {
+      latch.await();
+      return true;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
   }
 
   private void step(HttpExchange exchange) throws IOException {
     exchange.getRequestBody().readAllBytes();
-    if (shouldHoldStep.test(steps.incrementAndGet())) {
-      try {
-        probesBeforeAnswer.await();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
-      }
+    if (shouldHoldStep.test(steps.incrementAndGet()) && !awaitOrInterrupt(probesBeforeAnswer)) {
+      return;
     }
     respond(exchange, STEP_RESPONSE);
+    stepAnswered.countDown();
   }
 
   private static void respond(HttpExchange exchange, String body) throws IOException {
