--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseDecoder.java
@@ -50,7 +50,7 @@
     return actualReadableBytes();
   }
 
-  /** Returns these bytes. */
+  /** Returns the bytes received that are not decoded yet, as they are until the next read. */
   ByteBuf undecoded() {
     return internalBuffer();
   }
