--- a/tools/plays/versions_beside_cuts.py
+++ b/tools/plays/versions_beside_cuts.py
@@ -10,7 +10,7 @@
 passed on to nobody, and the connection ended within 200 ms or had been announced to end.
 "Broken" answers began and did not end. Excused are requests that a kill or freeze of the VM that took
 them or served them disturbed, that reached their time limit, or that were begun within 3 s of a SIGTERM
-of their VM and still ran in the last sixth of its grace period; and late ones while this program lagged.
+of their VM and ran at a target in the last sixth of its grace period; late ones while this program lagged.
 With --keep, or after a broken check, the folder with the logs of the VMs stays. CHECKOUT names the
 checkout whose build is run.
 """
@@ -139,16 +139,20 @@
                     return past.what
                 if f"entry-{past.vm}" in peers:
                     return f"{past.what} of the serving VM"
-            if (past.what == "stop" and past.vm == one.vm
+            if (past.what == "stop" and past.vm == one.vm and not self.waited(one)
                     and past.begin - 12 <= one.sent <= past.begin + 3
                     and one.ended >= past.begin + d.GRACE_S * 5 / 6):
                 return "end of a planned stop"
             if near and past.what == "lag of the play" and verdict in ("late", "none"):
                 return past.what
         if verdict == "broken" and one.ended >= one.limit - cut_callers.SLACK_S - 0.05:
-            return "its time limit"
+            return "its time limit" + (" after a wait" if self.waited(one) else "")
         return None
 
+    def waited(self, one):
+        """Whether a stream waited for an attempt, so that no target was at work on it."""
+        return any('"event":"waits"' in line for line in self.lines[one.id])
+
     def reason(self, one):
         """The reason that the VM which took a request logged for its end."""
         for line in self.lines[one.id]:
