--- a/tools/plays/extra_answers.py
+++ b/tools/plays/extra_answers.py
@@ -24,6 +24,7 @@
 import deployment as d  # noqa: E402
 import engine as e  # noqa: E402
 import extra_shapes  # noqa: E402
+import log_events  # noqa: E402
 from extra_targets import Engine, Shop  # noqa: E402
 from extra_callers import Caller  # noqa: E402
 
@@ -54,6 +55,8 @@
 class Play:
     """What the targets ran and sent, and what each caller got."""
 
+    ENGINE, SHOP, CALLER = Engine, Shop, Caller
+
     def __init__(self, options, record):
         self.options = options
         self.names = SITES[options.site]
@@ -65,10 +68,12 @@
         self.pieces = collections.Counter()
         self.cases = collections.Counter()
         self.results = collections.Counter()
+        self.asked = {}
+        self.logs = {}
         self.spoiling = False
         self.site = d.Deployment(record, entries=options.entries)
-        self.engines = [Engine(self, i, KINDS[kind]) for i, kind in enumerate(ENGINES)]
-        self.shops = [Shop(self, len(ENGINES) + i, i < 2) for i in range(3)]
+        self.engines = [self.ENGINE(self, i, KINDS[kind]) for i, kind in enumerate(ENGINES)]
+        self.shops = [self.SHOP(self, len(ENGINES) + i, i < 2) for i in range(3)]
 
     def choose_faulty_engines(self):
         """Half of the engines that begin a path spoil answers; some of these fail requests."""
@@ -117,6 +122,7 @@
             await self.site.await_ready()
             await self.await_streams()
             await self.load()
+            self.logs = log_events.summary(self.site, self.names["order"])
         finally:
             for target in targets:
                 if target.beats:
@@ -133,11 +139,11 @@
                     raise TimeoutError("no stream was answered")
                 await asyncio.sleep(0.5)
         await asyncio.sleep(3.0)
-        for count in (self.results, self.cases, self.sent, self.pieces):
+        for count in (self.results, self.cases, self.sent, self.pieces, self.runs):
             count.clear()
 
     async def trial(self, number):
-        caller = Caller(self, number)
+        caller = self.CALLER(self, number)
         result = await caller.call(self.names["streams"][0])
         caller.close()
         return result
@@ -149,7 +155,7 @@
         self.spoiling = True
 
         async def caller_loop(number):
-            caller = Caller(self, number)
+            caller = self.CALLER(self, number)
             while loop.time() < until:
                 await caller.call(self.request_kind())
                 await asyncio.sleep(self.random.uniform(0.02, 0.15))
@@ -174,10 +180,11 @@
                 for shape in sorted(self.pieces)},
             "kinds_of_case": {
                 f"{shape}: {what}": n for (shape, what), n in sorted(self.cases.items())},
+            "logs": self.logs,
         }
 
 
-def parse():
+def parser():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("--site", choices=sorted(SITES), default="foldnet-wales")
     parser.add_argument("--seed", type=int, default=1)
@@ -186,21 +193,23 @@
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--events", type=int, default=6)
     parser.add_argument("--share", type=float, default=0.1, help="share of answers spoilt")
+    parser.add_argument("--broken-off", type=float, default=0.0,
+                        help="share of the spoilt answers that are broken off")
     parser.add_argument("--grey", type=float, default=0.14, help="share of engines that also fail")
     parser.add_argument("--fails", type=float, default=0.45, help="failures of such an engine")
     parser.add_argument("--ids-first", action="store_true", help="answers begin with Request-Id")
     parser.add_argument("--plain", action="store_true", help="mostly orders and lookups")
     parser.add_argument("--shapes", default="all", help="names, or prefixes, separated by commas")
     parser.add_argument("--record", default=os.devnull)
-    return parser.parse_args()
+    return parser
 
 
-async def main():
-    options = parse()
+async def main(play=Play, options=None):
+    options = options or parser().parse_args()
     random.seed(options.seed)
     record = d.Record(options.record)
     try:
-        result = await Play(options, record).run()
+        result = await play(options, record).run()
     finally:
         record.close()
     print(json.dumps(result, indent=1))
--- a/tools/plays/extra_callers.py
+++ b/tools/plays/extra_callers.py
@@ -8,6 +8,8 @@
 PATIENCE_S = 2.0
 LEAVES = 0.03  # share of the streams that a caller abandons
 HEADS = 0.2  # share of the lookups with method HEAD
+CHUNKED = 0.4  # share of the streams whose body is sent in chunks
+QUERIES = 0.4  # share of the streams with a query
 
 
 class Left(Exception):
@@ -32,7 +34,8 @@
             prompt = f"{self.play.random.getrandbits(32):08x}:400"
             more = [("Deadline-Ms", 20000), ("Model", e.MODEL), ("Prompt-Prefix", prompt),
                     ("Token-Count", f"400,{self.play.options.events * 3}")]
-            return "POST", f"{kind}.example", "/s/x", fields + more
+            path = "/s/x?a=7&b=x-y" if self.play.random.random() < QUERIES else "/s/x"
+            return "POST", f"{kind}.example", path, fields + more
         fields.append(("Deadline-Ms", names["deadline_ms"]))
         if kind == names["order"]:
             return "POST", "shop.example", "/pay/x", fields
@@ -60,12 +63,21 @@
         request = f"{play.random.getrandbits(64):016x}"
         stream = kind in play.names["streams"]
         method, host, path, fields = self.request(kind, request)
+        data = self.message(method, host, path, fields)
         play.sent["stream" if stream else method] += 1
         limit = 21.0 if stream else play.names["deadline_ms"] / 1000 + 0.5
         leaves = stream and play.spoiling and play.random.random() < LEAVES
+        result = await self.try_exchange(request, method, data, leaves, limit)
+        play.results[result] += 1
+        if result != "200":
+            play.record.write("result", request=request, kind=kind, result=result)
+        return result
+
+    async def try_exchange(self, request, method, data, leaves, limit):
+        """Sends a request and checks its answer; closes the connection unless that is complete."""
         try:
             result = await asyncio.wait_for(
-                self.exchange(request, method, host, path, fields, leaves), limit)
+                self.exchange(request, method, data, leaves), limit)
         except Left:
             result = "caller left"
         except asyncio.TimeoutError:
@@ -77,17 +89,27 @@
             result = "no answer in the protocol"
         if not result.isdigit():
             self.close()
-        play.results[result] += 1
-        if result != "200":
-            play.record.write("result", request=request, kind=kind, result=result)
         return result
 
-    async def exchange(self, request, method, host, path, fields, leaves):
+    def message(self, method, host, path, fields):
+        """Returns the bytes of a request; some streams have a body, with a length or in chunks."""
+        start = f"{method} {path} HTTP/1.1"
+        body = b""
+        if method == "POST" and path.startswith("/s/"):
+            body = f"prompt of {fields[0][1]}".encode() * 8
+        self.play.asked[fields[0][1]] = (start, body)
+        if body and self.play.random.random() < CHUNKED:
+            chunks = b"".join(f"{len(part):x}\r\n".encode() + part + b"\r\n"
+                              for part in (body[:50], body[50:])) + b"0\r\n\r\n"
+            return d.message(start, [("Host", host), ("Transfer-Encoding", "chunked")] + fields,
+                             chunks)
+        return d.message(start, [("Host", host), ("Content-Length", len(body))] + fields, body)
+
+    async def exchange(self, request, method, data, leaves):
         if self.writer is None:
             ip, port = self.address.rsplit(":", 1)
             self.reader, self.writer = await asyncio.open_connection(ip, int(port))
-        self.writer.write(d.message(f"{method} {path} HTTP/1.1",
-                                    [("Host", host), ("Content-Length", 0)] + fields))
+        self.writer.write(data)
         head = await self.patiently(d.read_head(self.reader))
         if not head.start.startswith("HTTP/1.1 "):
             raise ValueError(head.start)
--- a/tools/plays/extra_targets.py
+++ b/tools/plays/extra_targets.py
@@ -23,6 +23,8 @@
         play = self.play
         if not (self.faulty and play.spoiling and play.random.random() < play.options.share):
             return None
+        if play.random.random() < play.options.broken_off:
+            return play.random.choice(extra_shapes.BROKEN_OFF)
         return play.random.choice(play.shapes)
 
     def fields(self, head, stamp, more):
@@ -70,7 +72,11 @@
     def note(self, head, kind, status, stamp, body, shape, complete=True):
         run = {"server": self.id, "kind": kind, "status": status, "stamp": stamp, "body": body,
                "shape": shape, "complete": complete}
-        self.play.runs[head.get("request-id")].append(run)
+        request = head.get("request-id")
+        self.play.runs[request].append(run)
+        if self.play.asked.get(request, head.asked) != head.asked:
+            self.play.cases[shape, "request changed on the way"] += 1
+            self.play.record.write("BROKEN", request=request, ran=head.asked)
         return run
 
     async def plain_answer(self, head, kind, failed, writer):
@@ -105,6 +111,7 @@
         self.free = asyncio.Semaphore(6)
 
     async def handle(self, head, body, writer):
+        head.asked = (head.start, body)
         if self.running >= 30:
             self.before(head, writer)
             writer.write(self.refusal(head, "503 Service Unavailable"))
@@ -153,6 +160,7 @@
         return own == f"{self.address}={self.layers[0]}-{self.layers[1]}"
 
     async def handle(self, head, body, writer):
+        head.asked = (head.start, body)
         if not self.serves_path(head):
             self.before(head, writer)
             writer.write(self.refusal(head, "421 Misdirected Request"))
