--- a/tools/plays/cut_links.py
+++ b/tools/plays/cut_links.py
@@ -67,8 +67,9 @@
             self.waiting.append(data)
 
     def hang(self):
-        self.waiting = []
-        drop(self.writer.get_extra_info("socket"), [self.vm])
+        if not self.writer.transport.is_closing():
+            self.waiting = []
+            drop(self.writer.get_extra_info("socket"), [self.vm])
 
     def go_on(self):
         if self.waiting is None:
@@ -77,7 +78,8 @@
         sock = self.writer.get_extra_info("socket")
         if sock is not None and not self.writer.transport.is_closing():
             drop(sock, [])
-            self.writer.write(b"".join(waiting))
+            for data in waiting:
+                self.writer.write(data)
 
 
 class Cuttable:
--- a/tools/plays/two_hops.py
+++ b/tools/plays/two_hops.py
@@ -11,8 +11,8 @@
 import collections
 import sys
 
+import extra_answers  # first: it adds the folder of the stand-ins to the path
 import cut_links
-import extra_answers
 import extra_callers
 import extra_targets
 
@@ -122,6 +122,7 @@
         cuts = asyncio.create_task(self.cuts.run(until))
         try:
             await super().load()
+            await cuts
         finally:
             cuts.cancel()
             self.cuts.end()
