--- a/tools/plays/cut_links.py
+++ b/tools/plays/cut_links.py
@@ -149,9 +149,13 @@
         loop, random = asyncio.get_running_loop(), self.play.random
         await asyncio.sleep(3)
         while loop.time() + 6 < until:
-            nodes = random.sample(self.play.site.entries,
-                                  random.randint(1, len(self.play.site.entries) - 1))
-            new, kept = random.choice(MODES)
+            count = self.play.options.cut_vms or random.randint(
+                1, len(self.play.site.entries) - 1)
+            nodes = random.sample(self.play.site.entries, count)
+            new, kept = random.choice(
+                [mode for mode in MODES
+                 if self.play.options.modes == "all"
+                 or "-".join(mode) in self.play.options.modes.split(",")])
             self.begin([node["ip"] for node in nodes], new, kept)
             spans = [[vm, loop.time(), float("inf")] for vm in self.sources]
             self.spans += spans
--- a/tools/plays/extra_answers.py
+++ b/tools/plays/extra_answers.py
@@ -70,6 +70,7 @@
         self.results = collections.Counter()
         self.asked = {}
         self.logs = {}
+        self.lags = [0.0]
         self.spoiling = False
         self.site = d.Deployment(record, entries=options.entries)
         self.engines = [self.ENGINE(self, i, KINDS[kind]) for i, kind in enumerate(ENGINES)]
@@ -163,7 +164,17 @@
             await caller.check_idle()
             caller.close()
 
+        lag = asyncio.create_task(self.measure_lag())
         await asyncio.gather(*(caller_loop(n) for n in range(self.options.callers)))
+        lag.cancel()
+
+    async def measure_lag(self):
+        """Notes how late the play itself is: targets that starve look silent to the VMs."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + 0.05
+            await asyncio.sleep(0.05)
+            self.lags.append(loop.time() - due)
 
     def report(self):
         total = sum(self.sent.values())
@@ -180,6 +191,9 @@
                 for shape in sorted(self.pieces)},
             "kinds_of_case": {
                 f"{shape}: {what}": n for (shape, what), n in sorted(self.cases.items())},
+            "late by ms, most and share over 10 ms": [
+                round(1000 * max(self.lags)),
+                round(sum(1 for lag in self.lags if lag > 0.01) / len(self.lags), 3)],
             "logs": self.logs,
         }
 
--- a/tools/plays/two_hops.py
+++ b/tools/plays/two_hops.py
@@ -119,7 +119,8 @@
 
     async def load(self):
         until = asyncio.get_running_loop().time() + self.options.seconds
-        cuts = asyncio.create_task(self.cuts.run(until))
+        cuts = asyncio.create_task(
+            asyncio.sleep(0) if self.options.modes == "none" else self.cuts.run(until))
         try:
             await super().load()
             await cuts
@@ -150,6 +151,8 @@
     parser = extra_answers.parser()
     parser.set_defaults(entries=4, broken_off=0.3)
     parser.add_argument("--repeats", type=float, default=0.15)
+    parser.add_argument("--modes", default="all", help="such as hang-hang,hang-reset, or none")
+    parser.add_argument("--cut-vms", type=int, default=0, help="VMs of each cut; 0 for any number")
     return parser.parse_args()
 
 
