--- a/tools/plays/cut_links.py
+++ b/tools/plays/cut_links.py
@@ -111,13 +111,13 @@
         head.vm = writer.vm
         await super().handle(head, body, writer)
 
-    def apply_cut(self, sources, new, kept):
+    def apply_cut(self, sources, added, new, kept):
         for listening in self.listener.sockets:
             drop(listening, sources if new == "hang" else [])
         for link in list(self.links):
-            if link.vm in sources and kept == "hang":
+            if link.vm in added and kept == "hang":
                 link.hang()
-            elif link.vm in sources and kept == "reset":
+            elif link.vm in added and kept == "reset":
                 d.reset(link)
 
     def end_cut(self):
@@ -161,6 +161,9 @@
             self.spans += spans
             self.play.record.write("cut", vms=[node["name"] for node in nodes], new=new, kept=kept)
             self.modes.append(f"{len(nodes)} {new}-{kept}")
+            if self.play.options.widen:
+                await asyncio.sleep(1.5)
+                await self.widen(new, kept, spans)
             await asyncio.sleep(random.uniform(4, 7))
             self.end()
             self.play.record.write("cut ends")
@@ -169,9 +172,21 @@
             await asyncio.sleep(random.uniform(2, 5))
 
     def begin(self, sources, new, kept):
+        added = [vm for vm in sources if vm not in self.sources]
         self.sources, self.refusing = sources, new == "refuse"
         for target in self.play.engines + self.play.shops:
-            target.apply_cut(sources, new, kept)
+            target.apply_cut(sources, added, new, kept)
+
+    async def widen(self, new, kept, spans):
+        """Cuts off one more VM, which serves for the first ones, if another one is left."""
+        free = [node["ip"] for node in self.play.site.entries if node["ip"] not in self.sources]
+        if len(free) > 1:
+            more = [[self.play.random.choice(free), asyncio.get_running_loop().time(),
+                     float("inf")]]
+            spans += more
+            self.spans += more
+            self.begin(self.sources + [more[0][0]], new, kept)
+            self.play.record.write("cut widened", vm=more[0][0])
 
     def end(self):
         self.sources, self.refusing = [], False
--- a/tools/plays/two_hops.py
+++ b/tools/plays/two_hops.py
@@ -153,6 +153,8 @@
     parser.add_argument("--repeats", type=float, default=0.15)
     parser.add_argument("--modes", default="all", help="such as hang-hang,hang-reset, or none")
     parser.add_argument("--cut-vms", type=int, default=0, help="VMs of each cut; 0 for any number")
+    parser.add_argument("--widen", action="store_true",
+                        help="cut off one more VM after 1.5 s, which may serve for the others")
     return parser.parse_args()
 
 
