Claim 'not run' to another VM only if no target is at work on the request

Callers of a VM that is cut off from its targets saw an order run twice. The VM that served it for the other one reached its deadline (504) while a target was at work on the order, and stated that the order had not run, so the other VM sent it to a third one. Cause: the statement looked at the attempts that had ended only (AttemptCounts.certainlyNotRun), not at the one in progress. The same holds for the end of a planned stop. Class: a statement about all attempts that leaves out the current one; for callers, Exchange.end looks at it. Change: with an attempt in progress the outcome is unknown, so the first VM answers 502. ServingVmTest.orderIsNotRepeatedAfterTheServingVmsDeadline failed before (200 by a second run), passes now, as does CutOffTest.

--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -318,7 +318,7 @@
     log.endedByProxy(outcome, routeName(), status, reason, counts);
     if (context.relayed()) {
       context.dialect().setRequestId(headers, metadata.id());
-      RelayHeaders.setOutcome(headers, counts.certainlyNotRun());
+      RelayHeaders.setOutcome(headers, attempt == null && counts.certainlyNotRun());
     }
     if (progress().started()) {
       caller.abort();
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/ServingVmTest.java
@@ -0,0 +1,134 @@
+package org.clementinesail.server.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.desired.Route;
+import org.clementinesail.core.desired.Service;
+import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.limits.StartupWait;
+import org.clementinesail.core.reachability.PeerVm;
+import org.clementinesail.server.logging.DecisionLog;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests what becomes of a request when the VM that serves it for another one gets no answer. The VM
+ * under test reaches no target, the serving VM reaches the first one, and a scripted VM serves next.
+ */
+public final class ServingVmTest extends ProxyTest {
+
+  private MultiThreadIoEventLoopGroup servingGroup;
+  private EventLoop servingLoop;
+  private RoutingState servingRouting;
+  private ProxyServer serving;
+  private ScriptedTarget nextVm;
+
+  /** Cuts the VM under test off, and lets it be served by the serving VM. */
+  @BeforeMethod
+  public void startVms() throws Exception {
+    servingGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    servingLoop = (EventLoop) servingGroup.next();
+    servingRouting = new RoutingState(settings(), new Random(2));
+    serving =
+        new ProxyServer(
+            servingLoop,
+            dialect(),
+            new IdleEngineDialect(),
+            servingRouting,
+            new StartupWait(System.nanoTime() - TimeUnit.SECONDS.toNanos(1)),
+            new ProxyMetrics(),
+            new DecisionLog("serving", new PrintStream(PrintStream.nullOutputStream())));
+    int relayPort = freePort();
+    serving.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    serving.listenForPeers(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort));
+    applyDesiredState();
+    nextVm = new ScriptedTarget();
+    TargetStatement reached = statement(first.address());
+    TargetStatement cut = statement("127.0.0.1:" + freePort());
+    servingLoop
+        .submit(
+            () -> {
+              servingRouting.desiredState(routing.desiredState().orElseThrow());
+              servingRouting.fleet().recordStatement(reached, System.nanoTime());
+            })
+        .sync();
+    PeerVm near = new PeerVm("serving", "127.0.0.1:" + relayPort, "a");
+    PeerVm far = new PeerVm("next", nextVm.address(), "b");
+    loop.submit(
+            () -> {
+              routing.fleet().recordStatement(cut, System.nanoTime());
+              proxy.peers().peers(List.of(near, far));
+            })
+        .sync();
+    first.script = ProxyTest::identifiedResponse;
+    assertEquals(status(call("POST", "/lookup/x", "Id: w1\r\n", "x")), 200, logged());
+  }
+
+  /** Stops the other VMs. */
+  @AfterMethod
+  public void stopVms() throws Exception {
+    servingLoop.submit(serving::close).sync();
+    servingGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    nextVm.close();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static TargetStatement statement(String address) {
+    return new TargetStatement("t1", "s", address, "a", 8, Phase.READY, "", null, 1, 1);
+  }
+
+  /** An order that is under way at a target when the serving VM's time is up is not sent again. */
+  @Test
+  public void orderIsNotRepeatedAfterTheServingVmsDeadline() throws Exception {
+    Route once =
+        new Route(
+            "once",
+            "shop",
+            "/once/",
+            Route.Kind.NON_IDEMPOTENT,
+            300,
+            100,
+            1,
+            List.of(new Route.Split("s", 1)),
+            2,
+            true,
+            false,
+            0);
+    var checked =
+        DesiredState.check(
+            2,
+            List.of(once),
+            List.of(new Service("s", 100, null)),
+            List.of(),
+            RequestLimits.DEFAULT);
+    DesiredState shorter = ((DesiredState.Valid) checked).state();
+    servingLoop.submit(() -> servingRouting.desiredState(shorter)).sync();
+    first.script = request -> ScriptedTarget.HANG;
+    nextVm.script = ProxyTest::identifiedResponse;
+    int status = status(call("POST", "/once/x", "Id: p1\r\n", "pay"));
+    assertTrue(status == 502 || status == 504, status + logged());
+    assertEquals(first.requests.size(), 2);
+    assertTrue(nextVm.requests.isEmpty(), logged());
+  }
+}
