--- a/tools/plays/two_hops.py
+++ b/tools/plays/two_hops.py
@@ -135,6 +135,10 @@
         result["orders_run_twice"] = sum(
             1 for request, runs in orders.items()
             if len(runs) > (2 if request in self.twice else 1))
+        for request, runs in orders.items():
+            self.record.write("order with several runs", request=request,
+                              repeated=self.twice.get(request, "not"),
+                              runs=[(run["server"], run["vm"], run["status"]) for run in runs])
         result["orders_run_for_each_repeat"] = sum(
             1 for request, runs in orders.items() if request in self.twice and len(runs) == 2)
         result["requests_repeated"] = len(self.twice)
