End a request of another VM when the serving VM is cut off too, so that it goes on elsewhere

Callers of a VM that is cut off from its targets saw streams stall until the cut or the deadline ended, when the VM that served them was cut off as well, although a third one reached the targets. Cause: the serving VM notices the cut, but looks for another path over its own links only, as requests are not passed to a third VM, and keeps the silent attempt. The first VM cannot tell: silence of another VM may be that of a target. Class: a wait whose end nobody looks after, once the decision belongs to another VM. Change: the serving VM closes the connection of such a request if it may be repeated; the first VM takes the answer for lost and continues after the last whole event (AttemptFailures.leaveToOtherVm). A request that must not be repeated waits as before.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.clementinesail.core.desired.Route;
 
 /** Decides what follows when an attempt of a request has failed. */
 final class AttemptFailures {
@@ -90,6 +91,27 @@
     }
   }
 
+  /** Returns whether another target may get the request beside an attempt that has stalled. */
+  boolean mayTryBeside(Attempt from) {
+    return !counts.refusalLimitReached() && mayRetry(from);
+  }
+
+  /**
+   * Ends a request of another VM if this VM does not reach its targets either; the other VM takes
+   * its answer for lost and goes on elsewhere. Returns whether the request has been ended.
+   */
+  boolean leaveToOtherVm(Attempt from) {
+    Route route = from.route();
+    if (!context.relayed() || route == null || !context.peers().isCutOff(from)) {
+      return false;
+    }
+    String reason = "this VM is cut off from the service too";
+    log.endedByProxy("failed", route.name(), HttpResponseStatus.BAD_GATEWAY, reason, counts);
+    exchange.sender().abort();
+    exchange.finish("failed");
+    return true;
+  }
+
   /** Returns whether another target may get the request if an attempt is given up. */
   boolean mayRetry(Attempt from) {
     return mayContinue() && counts.mayRetry(from.route(), from.target().id());
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -23,7 +23,6 @@
  * the response or an error status that tells whether the request may have run.
  */
 final class Exchange {
-
   private final ProxyContext context;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -172,7 +171,7 @@
   /** Sends the request on another path too, if there is one and the route and budget allow it. */
   private void tryOtherPath(Attempt from, long now) {
     Service chosen = service;
-    if (chosen == null || counts.refusalLimitReached() || !failures.mayRetry(from)) {
+    if (chosen == null || !failures.mayTryBeside(from) || failures.leaveToOtherVm(from)) {
       return;
     }
     Set<String> suspects = context.faults().suspects(from.path());
@@ -371,7 +370,7 @@
     }
   }
 
-  private boolean finish(String outcome) {
+  boolean finish(String outcome) {
     if (finished) {
       return false;
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ResponseSender.java
@@ -105,4 +105,9 @@
   void end() {
     caller.endResponse();
   }
+
+  /** Closes the connection, so that what was sent does not look complete. */
+  void abort() {
+    caller.abort();
+  }
 }
--- a/server/src/test/java/org/clementinesail/server/proxy/ServingVmTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ServingVmTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -33,6 +34,11 @@
  */
 public final class ServingVmTest extends ProxyTest {
 
+  private static final String CHUNKED = "Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  /** Time to notice the cut and to go on at the next VM; two thirds of the route's timeout. */
+  private static final long MAX_MILLIS = LONG_TIMEOUT_MS * 2L / 3;
+
   private MultiThreadIoEventLoopGroup servingGroup;
   private EventLoop servingLoop;
   private RoutingState servingRouting;
@@ -131,4 +137,58 @@
     assertEquals(first.requests.size(), 2);
     assertTrue(nextVm.requests.isEmpty(), logged());
   }
+
+  private static String streamHead() {
+    return EVENT_STREAM_HEAD + CHUNKED;
+  }
+
+  private static String chunks(int firstEvent, int lastEvent) {
+    StringBuilder chunks = new StringBuilder();
+    for (int id = firstEvent; id <= lastEvent; id++) {
+      String event = ContinuedStreamTest.event(id);
+      chunks.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
+    }
+    return chunks.toString();
+  }
+
+  /** Sends the start of an answer; from then on the target refuses connections and is silent. */
+  private String silentAfter(String start) {
+    try {
+      first.stopListening();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return start + ScriptedTarget.HANG;
+  }
+
+  /** A stream that another VM serves goes on elsewhere when that VM is cut off, too. */
+  @Test
+  public void streamGoesOnWhenTheServingVmIsCutOffToo() throws Exception {
+    first.script = request -> silentAfter(streamHead() + chunks(1, 2));
+    nextVm.script = request -> streamHead() + chunks(3, 4) + "0\r\n\r\n";
+    Received received = receive("/stream/x", "");
+    String seen = received + logged();
+    assertTrue(received.complete() && received.text().contains("data: e4"), seen);
+    assertEquals(received.text().split("data: e3", -1).length, 2, seen);
+    assertTrue(received.millis() < MAX_MILLIS, seen);
+  }
+
+  /** A stream without an answer so far is answered elsewhere in that case. */
+  @Test
+  public void unansweredStreamIsServedWhenTheServingVmIsCutOffToo() throws Exception {
+    first.script = request -> silentAfter("");
+    nextVm.script = request -> streamHead() + chunks(1, 2) + "0\r\n\r\n";
+    Received received = receive("/stream/x", "");
+    assertTrue(received.complete() && received.millis() < MAX_MILLIS, received + logged());
+  }
+
+  /** An order that may have run is not sent again: it waits for its answer up to the deadline. */
+  @Test
+  public void orderIsNotRepeatedWhenTheServingVmIsCutOffToo() throws Exception {
+    first.script = request -> silentAfter("");
+    nextVm.script = ProxyTest::identifiedResponse;
+    int status = status(call("POST", "/once/x", "Id: p1\r\n", "pay"));
+    assertTrue(status == 502 || status == 504, status + logged());
+    assertTrue(nextVm.requests.isEmpty(), logged());
+  }
 }
