--- a/server/src/test/java/org/clementinesail/server/proxy/ServingVmTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ServingVmTest.java
@@ -30,7 +30,8 @@
 
 /**
  * Tests what becomes of a request when the VM that serves it for another one gets no answer. The VM
- * under test reaches no target, the serving VM reaches the first one, and a scripted VM serves next.
+ * under test reaches no target, the serving VM reaches the first one, and a scripted VM serves
+ * next.
  */
 public final class ServingVmTest extends ProxyTest {
 
@@ -146,7 +147,11 @@
     StringBuilder chunks = new StringBuilder();
     for (int id = firstEvent; id <= lastEvent; id++) {
       String event = ContinuedStreamTest.event(id);
-      chunks.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
+      chunks
+          .append(Integer.toHexString(event.length()))
+          .append("\r\n")
+          .append(event)
+          .append("\r\n");
     }
     return chunks.toString();
   }
