Ended requests free no more memory than an engine has reported as used

Could admit a request to an engine without room: the steady estimate subtracted what this VM's requests had ended, by their expected size, from what others use, also without a fresh report. Class: two estimates of one quantity, unbounded by the measured one. Change: at most the reported use is subtracted.

--- a/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -1,7 +1,6 @@
 package org.clementinesail.core.paths;
 
 import org.clementinesail.core.desired.EngineModel;
-import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.targets.LayerRange;
 
@@ -11,7 +10,7 @@
  * <p>No VM knows what the other VMs have sent and ended since an engine's last report. They see the
  * same reports and prefer the same engines, so a cautious estimate takes them to have sent to each
  * engine as much as this VM has, and to have ended nothing. The steady estimate takes what they
- * have ended to equal what they have sent.
+ * have ended to equal what they have sent, and subtracts what this VM has ended.
  */
 final class EngineMemory {
   /** Usable share of the memory; the rest is for answers longer than their length hint. */
@@ -68,13 +67,17 @@
   /** Returns the use of an engine if the other VMs have ended as much there as they have sent. */
   Use steady(Fleet.Member engine, LayerRange layers, int tokens) {
     String id = engine.statement().id();
-    double taken = localLoad.unreportedKvTokenLayers(id);
-    return use(engine, layers, tokens, taken - localLoad.endedKvTokenLayers(id));
+    double ended = Math.min(reportedUse(engine), (double) localLoad.endedKvTokenLayers(id));
+    return use(engine, layers, tokens, localLoad.unreportedKvTokenLayers(id) - ended);
   }
 
   private Use use(Fleet.Member engine, LayerRange layers, int tokens, double unreported) {
-    double used = engine.freshReport(now).map(EngineReport::kvUsed).orElse(0L);
-    return new Use(used, unreported, (double) tokens * layers.size(), total(engine, layers));
+    double required = (double) tokens * layers.size();
+    return new Use(reportedUse(engine), unreported, required, total(engine, layers));
+  }
+
+  private double reportedUse(Fleet.Member engine) {
+    return engine.freshReport(now).map(report -> (double) report.kvUsed()).orElse(0.0);
   }
 
   private double total(Fleet.Member engine, LayerRange layers) {
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -324,4 +324,18 @@
         "0..40 1 engines {LIMIT=1}; 40..80 3 engines {NOT_READY=1, SUSPECT=1, MEMORY=1},"
             + " a2 used 950 changed 0 required 39080 of 1000, report 3 ms old");
   }
+
+  /** Ended requests free no more than an engine has reported as used. */
+  @Test
+  public void endedRequestsFreeNoMoreThanWasUsed() {
+    engine("e", "a", "whole", 0, 80);
+    LayerRange all = new LayerRange(0, 80);
+    long required = (774 + 203) * 80L;
+    LocalLoad.Assignment own = localLoad.assign("e", required, -1_000_000_000L);
+    fleet.recordReport(
+        new EngineReport("e", true, 1, 0, required / 4, required / 2, 1, false, 1, all, 1), 1);
+    localLoad.recordReport("e", 1);
+    localLoad.release(own, 1);
+    assertEquals(plan(Set.of()), List.of());
+  }
 }
