Forget the ended requests of a target that has gone

An entry VM kept an entry for each engine that had gone since: ended requests were dropped only by a report of that engine, or a further end there. Change: entries of targets without requests expire with their ended requests.

--- a/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
@@ -69,7 +69,11 @@
     }
   }
 
+  /** A target without requests of this VM, and until when those that have ended are kept. */
+  private record Idle(String target, long until) {}
+
   private final Map<String, TargetWork> workByTarget = new HashMap<>();
+  private final Deque<Idle> idleTargets = new ArrayDeque<>();
 
   /**
    * Records that a request is assigned to a target.
@@ -80,6 +84,7 @@
    * @return the assignment, to pass to {@link #release} when the request has left the target
    */
   public Assignment assign(String id, long kvTokenLayers, long now) {
+    removeExpired(now);
     TargetWork work = workByTarget.computeIfAbsent(id, key -> new TargetWork());
     Assignment assignment = new Assignment(id, kvTokenLayers, now);
     work.requests++;
@@ -99,9 +104,28 @@
     if (work != null) {
       work.recordEnd(assignment, now);
       removeIfIdle(assignment.target, work);
+      if (work.requests <= 0) {
+        idleTargets.addLast(new Idle(assignment.target, now + MAX_ENDED_AGE_NANOS));
+      }
+    }
+  }
+
+  private void removeExpired(long now) {
+    while (!idleTargets.isEmpty() && idleTargets.getFirst().until - now <= 0) {
+      String id = idleTargets.removeFirst().target;
+      TargetWork work = workByTarget.get(id);
+      if (work != null) {
+        work.removeEndedUntil(now - MAX_ENDED_AGE_NANOS);
+        removeIfIdle(id, work);
+      }
     }
   }
 
+  /** Returns the number of targets that something is kept for. */
+  int targetCount() {
+    return workByTarget.size();
+  }
+
   private void removeIfIdle(String id, TargetWork work) {
     if (work.requests <= 0 && work.endedSinceReport.isEmpty()) {
       workByTarget.remove(id);
--- a/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathPlannerTest.java
@@ -338,4 +338,16 @@
     localLoad.release(own, 1);
     assertEquals(plan(Set.of()), List.of());
   }
+
+  /** A target that has gone leaves nothing behind. */
+  @Test
+  public void goneTargetLeavesNoWork() {
+    for (int i = 0; i < 100; i++) {
+      long begin = TimeUnit.SECONDS.toNanos(10L * i);
+      LocalLoad.Assignment own = localLoad.assign("gone" + i, 5, begin);
+      localLoad.recordReport("gone" + i, begin + TimeUnit.SECONDS.toNanos(1));
+      localLoad.release(own, begin + TimeUnit.SECONDS.toNanos(2));
+    }
+    assertTrue(localLoad.targetCount() <= 2, localLoad.targetCount() + " targets");
+  }
 }
