A whole answer that waits for bytes after it is passed on at the deadline

What callers would see: 504 for an order that had run and was answered, if its body ends like the head of an answer and its time ends within the 250 ms for which such an answer is held back since; the same at the end of a planned stop (by reading). Change: before a request is ended, its attempt takes what it holds.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -40,15 +40,6 @@
   /** Divisor of the moving average: the newest pause has a weight of 1 in this many. */
   private static final int PAUSE_AVERAGE_DIVISOR = 4;
 
-  private enum Mode {
-    AWAITING_HEAD,
-    REFUSED,
-    BUFFERED,
-    /** Longer than the buffer: parts are passed on, and the response cannot be replaced. */
-    PASSED_ON,
-    EVENTS
-  }
-
   private final Exchange exchange;
   private final ProxyContext context;
   private final TargetStatement target;
@@ -64,7 +55,7 @@
   private final BufferLimit.Reservation reservation;
   private @Nullable TargetCall call;
   private List<LocalLoad.Assignment> assignments = List.of();
-  private Mode mode = Mode.AWAITING_HEAD;
+  private ResponseMode mode = ResponseMode.AWAITING_HEAD;
   private boolean finished;
   private int refusalBytes;
   private long refusedAt;
@@ -123,7 +114,7 @@
    */
   boolean hasStalled(long now) {
     return !path.isEmpty()
-        && mode != Mode.PASSED_ON
+        && mode != ResponseMode.PASSED_ON
         && context.faults().shouldSwitchPath(path, now - lastProgressAt, usualPauseNanos);
   }
 
@@ -144,6 +135,13 @@
     }
   }
 
+  /** Takes a whole response that waits for bytes after it. */
+  void endWait() {
+    if (call != null) {
+      call.endWait();
+    }
+  }
+
   void setReading(boolean reading) {
     if (call != null) {
       call.setReading(reading);
@@ -193,16 +191,16 @@
             : HeadReader.ofPeer(context, sentAt, response);
     switch (read.use(streamRoute, exchange.sender().progress())) {
       case REFUSAL -> {
-        mode = Mode.REFUSED;
+        mode = ResponseMode.REFUSED;
         refusedAt = lastProgressAt;
       }
       case UNPROVEN ->
           reportLostResponse(false, "success response without the proof header of a target");
       case NO_CONTINUATION ->
           reportNoContinuation("status " + response.status().code() + ", no rest of the stream");
-      case EVENTS -> mode = Mode.EVENTS;
+      case EVENTS -> mode = ResponseMode.EVENTS;
       case WHOLE -> {
-        mode = Mode.BUFFERED;
+        mode = ResponseMode.BUFFERED;
         buffer = Unpooled.buffer();
       }
     }
@@ -219,30 +217,30 @@
     HttpResponse response = head;
     ByteBuf buffered = buffer;
     context.peers().recordHeard(this);
-    if (mode == Mode.EVENTS) {
+    if (mode == ResponseMode.EVENTS) {
       onEventBytes(content);
       return;
     }
     recordProgress();
-    if (mode == Mode.REFUSED) {
+    if (mode == ResponseMode.REFUSED) {
       refusalBytes += content.readableBytes();
       if (refusalBytes > MAX_REFUSAL_BYTES) {
         endRefusal();
       }
-    } else if (mode == Mode.BUFFERED && buffered != null) {
+    } else if (mode == ResponseMode.BUFFERED && buffered != null) {
       buffered.writeBytes(content);
       int size = buffered.readableBytes();
       boolean full = size > MAX_BUFFERED_BYTES || !reservation.resize(size);
       if (full && response != null) {
         reservation.release();
-        mode = Mode.PASSED_ON;
+        mode = ResponseMode.PASSED_ON;
         exchange.onProgress(this);
         exchange.sender().sendBytes(this, response, buffered);
         buffered.release();
         buffer = null;
         exchange.sender().flush(this);
       }
-    } else if (mode == Mode.PASSED_ON && response != null) {
+    } else if (mode == ResponseMode.PASSED_ON && response != null) {
       exchange.sender().sendBytes(this, response, content);
       exchange.sender().flush(this);
     }
@@ -275,7 +273,7 @@
   void checkProgress(long now) {
     if (!finished && context.peers().isCutOff(this) && call != null && call.cancelUnsent()) {
       acceptFailure(FailureKind.NOT_SENT, "this VM is cut off from the service");
-    } else if (mode == Mode.REFUSED && !finished && now - refusedAt > MAX_REFUSAL_NANOS) {
+    } else if (mode == ResponseMode.REFUSED && !finished && now - refusedAt > MAX_REFUSAL_NANOS) {
       endRefusal();
     }
   }
@@ -370,11 +368,11 @@
   }
 
   private void acceptFailure(FailureKind kind, String reason) {
-    if (mode == Mode.REFUSED && head != null) {
+    if (mode == ResponseMode.REFUSED && head != null) {
       // The status alone guarantees that the request has not run.
       finish();
       exchange.failures().onRefused(this, head);
-    } else if (mode == Mode.PASSED_ON) {
+    } else if (mode == ResponseMode.PASSED_ON) {
       finish();
       exchange.failures().onPartialResponseLost(this, reason);
     } else if (kind == FailureKind.NOT_SENT) {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -274,6 +274,9 @@
   /** Ends the request without a target's response: 503 if it has certainly not run, else 504. */
   void end(String reason) {
     if (attempt != null) {
+      attempt.endWait();
+    }
+    if (attempt != null && !finished) {
       partGuard.afterSilence(attempt);
     }
     if (counts.certainlyNotRun() && attempt == null) {
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetCall.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetCall.java
@@ -11,6 +11,9 @@
     return false;
   }
 
+  /** Ends the wait for bytes after a whole response, which the listener then receives. */
+  default void endWait() {}
+
   /**
    * Pauses or resumes reading the response, for backpressure.
    *
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetConnection.java
@@ -77,6 +77,11 @@
       }
     }
 
+    @Override
+    public void endWait() {
+      Optional.ofNullable(end).ifPresent(ResponseEnd::onNoMoreBytes);
+    }
+
     @Override
     public void setReading(boolean reading) {
       if (activeCall == this && channel != null && end == null) {
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetPool.java
@@ -247,6 +247,13 @@
       return unsent;
     }
 
+    @Override
+    public void endWait() {
+      if (call != null) {
+        call.endWait();
+      }
+    }
+
     @Override
     public void setReading(boolean reading) {
       if (call != null) {
--- a/server/src/test/java/org/clementinesail/server/proxy/FilledAnswerTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/FilledAnswerTest.java
@@ -82,4 +82,24 @@
     assertTrue(received.endsWith("\r\n0\r\n\r\n"), received.length() + " characters");
     assertTrue(received.replaceAll("[^a]", "").length() >= body.length(), "bytes are missing");
   }
+
+  /** Ends of a body after which further bytes are waited for. */
+  @DataProvider
+  public Object[][] ends() {
+    return new Object[][] {{"HTTP/1."}, {"HTTP/1.1 200 OK\r\n"}};
+  }
+
+  /** A whole answer that is held back when the time of its request is over is passed on. */
+  @Test(dataProvider = "ends")
+  public void heldAnswerIsPassedOnAtTheDeadline(String end) throws Exception {
+    addTarget("t1", first, "a");
+    applyDesiredState();
+    String body = "text " + end;
+    first.script =
+        request ->
+            identifiedResponse(request)
+                .replace(": 4\r\n\r\nwell", ": " + body.length() + "\r\n\r\n" + body);
+    String answer = call("POST", "/once/x", "Id: e1\r\nTimeout-Ms: 150\r\n", "x");
+    assertEquals(status(answer), 200, answer + logged());
+  }
 }
