A VM that knows no target is left alone, and its requests go elsewhere

Cause: its refusal asked to come back after 1.5 s or more, so neither the VM was left alone nor the request tried at the next one. Change: a VM that knows no target of the service refuses other VMs' requests as one that is cut off does.

--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -136,6 +136,9 @@
     if (deferral.isPresent()) {
       return new GiveUp("the targets take no more requests for now", deferral.getAsDouble());
     }
+    if (context.relayed() && context.routing().fleet().ready(service.name(), now).isEmpty()) {
+      return new GiveUp("this VM knows no target", RetryAfter.STOP_SECONDS);
+    }
     String gaps = context.routing().describeGaps(service, metadata, excludedTargets, now);
     String reason = "no target is available" + (gaps.isEmpty() ? "" : ": " + gaps);
     return new GiveUp(reason, RetryAfter.SECONDS);
