The end of a target's deferral is not taken for the stop of the VM that serves

What callers of a cut-off VM saw: 503 for up to 1 s longer than the target asked for. Cause: a deferral with 0.1 s or less left looks like the refusal of a VM that stops, which is left alone for a second. Class: a reason is told by the size of a number. Change: between VMs the time of a deferral is at least 0.15 s. A reason in the VMs' own protocol would be better, and is left open.

--- a/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RetryAfter.java
@@ -12,11 +12,19 @@
   /** The same while a VM knows no desired state yet, because it has just started. */
   static final double STARTUP_SECONDS = 2.5;
 
-  /** The same while a VM stops or reaches no target: other VMs take the request at once. */
+  /** The same while a VM stops or can reach no target: other VMs take the request at once. */
   static final double STOP_SECONDS = 0.05;
 
   private RetryAfter() {}
 
+  /**
+   * Returns the shortest time after which targets take requests again, in seconds: another VM would
+   * take a shorter one for that of a VM that stops.
+   */
+  static double least(ProxyContext context) {
+    return context.relayed() ? 3 * STOP_SECONDS : 0;
+  }
+
   /**
    * Returns the delay in seconds that another VM asks for, or empty if a third VM may serve the
    * request at once.
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -134,7 +134,8 @@
       return new Await();
     }
     if (deferral.isPresent()) {
-      return new GiveUp("the targets take no more requests for now", deferral.getAsDouble());
+      double seconds = Math.max(deferral.getAsDouble(), RetryAfter.least(context));
+      return new GiveUp("the targets take no more requests for now", seconds);
     }
     if (context.relayed() && context.routing().fleet().ready(service.name(), now).isEmpty()) {
       return new GiveUp("this VM knows no target", RetryAfter.STOP_SECONDS);
--- a/server/src/test/java/org/clementinesail/server/proxy/RefusalsBetweenVmsTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/RefusalsBetweenVmsTest.java
@@ -55,4 +55,22 @@
     }
     assertTrue(refused <= 2 * CALLERS, refused + " refused");
   }
+
+  /** The end of a target's deferral is not taken for the stop of the VM that serves. */
+  @Test
+  public void endOfADeferralKeepsNoRequestsFromTheOtherVm() throws Exception {
+    cutOff();
+    addTargetOfPeer("t1", first);
+    String deferring = REFUSAL.replace("Not-Started", "Retry-After: 0.6\r\nNot-Started");
+    first.script = request -> first.requests.size() <= 1 ? deferring : identifiedResponse(request);
+    long start = System.nanoTime();
+    int status = 0;
+    for (int i = 0; status != 200 && i < 200; i++) {
+      status = status(call("POST", "/once/x", "Id: h" + i + "\r\n", "x"));
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+    assertEquals(status, 200, bothLogs());
+    assertTrue(millis < 900, millis + " ms" + bothLogs());
+  }
 }
