--- a/tools/plays/cut_links.py
+++ b/tools/plays/cut_links.py
@@ -22,6 +22,11 @@
          ("refuse", "live")]
 
 
+def use_addresses(site):
+    """Lets all entry VMs that a site starts from now on open connections from their addresses."""
+    site.roles["entry"]["env"]["JAVA_TOOL_OPTIONS"] = java_options(site.folder)
+
+
 def java_options(folder):
     """Compiles the provider into a folder, and returns the options that make a process use it."""
     subprocess.run(["javac", "-nowarn", "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED", "-d",
@@ -102,8 +107,8 @@
         finally:
             self.links.discard(link)
 
-    def note(self, head, kind, status, stamp, body, shape, complete=True):
-        run = super().note(head, kind, status, stamp, body, shape, complete)
+    def note(self, head, *more):
+        run = super().note(head, *more)
         run["vm"] = head.vm
         return run
 
--- a/tools/plays/cut_targets.py
+++ b/tools/plays/cut_targets.py
@@ -23,8 +23,9 @@
             await asyncio.sleep(rest)
 
     def note(self, head):
-        self.play.runs.setdefault(head.get("request-id"), []).append(
-            {"target": self.id, "at": time.monotonic()})
+        run = {"target": self.id, "at": time.monotonic()}
+        self.play.runs.setdefault(head.get("request-id"), []).append(run)
+        return run
 
     def stated(self):
         return [("Server-Limit", f"{self.limit:.2f}")] if self.limit else []
