Name the change of an engine's memory, and one outcome in one place

Read through as a newcomer: the field of EngineMemory.Use holds starts less ends since the report, not only what is unreported; the example of PeerLiveness named a parameter that is not there; whether another VM may take a failure for "not run" hung on a word in two places. No behaviour changes; 20 tests of the classes pass.

--- a/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -27,19 +27,19 @@
    * The memory of one engine, and what a request needs of it.
    *
    * @param used used by requests, as reported
-   * @param unreported estimated change of the use since then
+   * @param changed estimated change of the use since then
    * @param required needed by the request
    * @param total total for requests
    */
-  record Use(double used, double unreported, double required, double total) {
+  record Use(double used, double changed, double required, double total) {
     /** Returns the share of the memory that is taken with the request. */
     double share() {
-      return total > 0 ? (used + unreported + required) / total : Double.MAX_VALUE;
+      return total > 0 ? (used + changed + required) / total : Double.MAX_VALUE;
     }
 
     /** Returns whether the engine has memory for the request. */
     boolean fits() {
-      return used + unreported + required <= total * MAX_PLANNED_SHARE;
+      return used + changed + required <= total * MAX_PLANNED_SHARE;
     }
   }
 
@@ -71,9 +71,9 @@
     return use(engine, layers, tokens, localLoad.unreportedKvTokenLayers(id) - ended);
   }
 
-  private Use use(Fleet.Member engine, LayerRange layers, int tokens, double unreported) {
+  private Use use(Fleet.Member engine, LayerRange layers, int tokens, double changed) {
     double required = (double) tokens * layers.size();
-    return new Use(reportedUse(engine), unreported, required, total(engine, layers));
+    return new Use(reportedUse(engine), changed, required, total(engine, layers));
   }
 
   private double reportedUse(Fleet.Member engine) {
--- a/core/src/main/java/org/clementinesail/core/paths/PathGaps.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathGaps.java
@@ -152,7 +152,7 @@
         .formatted(
             engine.member().statement().id(),
             use.used(),
-            use.unreported(),
+            use.changed(),
             use.required(),
             use.total(),
             age);
--- a/core/src/main/java/org/clementinesail/core/reachability/PeerLiveness.java
+++ b/core/src/main/java/org/clementinesail/core/reachability/PeerLiveness.java
@@ -13,7 +13,7 @@
  * counts only as far as this VM was awake. The class is not thread-safe.
  *
  * <pre>{@code
- * liveness.recordBegin(peer, now);
+ * liveness.recordBegin(peer);
  * liveness.tick(now).forEach(vm -> ask(vm));
  * if (liveness.isFrozen(peer)) { ... }
  * }</pre>
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -24,6 +24,8 @@
  */
 final class Exchange {
 
+  private static final String FAILED = "failed";
+
   private final ProxyContext context;
   private final CallerConnection caller;
   private final HttpRequest head;
@@ -306,7 +308,7 @@
   }
 
   void fail(HttpResponseStatus status, String reason) {
-    endWithStatus("failed", status, HeaderCopies.empty(), reason);
+    endWithStatus(FAILED, status, HeaderCopies.empty(), reason);
   }
 
   private void endWithStatus(
@@ -317,7 +319,7 @@
     log.endedByProxy(outcome, routeName(), status, reason, counts);
     if (context.relayed()) {
       context.dialect().setRequestId(headers, metadata.id());
-      RelayHeaders.setOutcome(headers, !outcome.equals("failed"));
+      RelayHeaders.setOutcome(headers, !outcome.equals(FAILED));
     }
     if (progress().started()) {
       caller.abort();
@@ -366,7 +368,7 @@
       log.stepFailed(e);
     } finally {
       caller.abortIfCurrent(this);
-      finish("failed");
+      finish(FAILED);
     }
   }
 
