--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -18,6 +18,7 @@
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.limits.RetryBudget;
+import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.LinkHealth;
 import org.clementinesail.core.paths.LinkLoad;
@@ -69,6 +70,7 @@
   private @Nullable DesiredState desiredState;
   private int trafficVms = 1;
   private int sendingVms;
+  private FleetLoad fleetLoad = FleetLoad.NONE;
 
   /**
    * Creates a state without a desired state and without targets.
@@ -115,6 +117,20 @@
     return fleet;
   }
 
+  /** Returns the load of all VMs together, as last summed up; never null. */
+  FleetLoad fleetLoad() {
+    return fleetLoad;
+  }
+
+  /**
+   * Replaces the load of all VMs together.
+   *
+   * @param next the new view
+   */
+  public void fleetLoad(FleetLoad next) {
+    fleetLoad = next;
+  }
+
   /** Returns this VM's load on each target. */
   public LocalLoad ownLoad() {
     return ownLoad;
