Check a configuration before it is sent

Operators could only learn from a control VM's refusal what is wrong with a version, and not at all which entries have no effect.

--- a/cli/src/main/java/org/clementinesail/cli/CliMain.java
+++ b/cli/src/main/java/org/clementinesail/cli/CliMain.java
@@ -1,5 +1,7 @@
 package org.clementinesail.cli;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -20,6 +22,8 @@
 import org.clementinesail.core.rules.RuleFault;
 import org.clementinesail.core.rules.RuleParseResult;
 import org.clementinesail.core.rules.RuleParser;
+import org.clementinesail.platform.ConfigurationCheck;
+import org.clementinesail.platform.ConfigurationReader;
 
 /**
  * Command line tool for operators.
@@ -38,7 +42,7 @@
       """
       usage: clementinesail COMMAND [FILE] [OPTION...]
 
-        check FILE     check a rule file without sending it
+        check FILE     check a rule file, or a configuration in JSON, without sending it
         submit FILE    submit a rule file; may be given again after a lost answer
         status         show VMs, replicas, the rules in force and targets
         version        print the version
@@ -48,9 +52,12 @@
         --vm ADDRESS         operators' address of a VM, IP-NUMBER:PORT; may be given more than once
         --token-file FILE    file that holds the operator token
         --operator NAME      who submits; the loser of a race is told (default: the user's name)
-        --json               print JSON for scripts
+        --json               print JSON for scripts; --format json is the same
+        --against FILE       check: show what differs from this configuration
+        --control ADDRESS    check: show what differs from the one in force, IP-NUMBER:PORT
 
-      exit codes: 0 done, 1 refused or invalid, 2 wrong use, 3 no VM answered or could confirm
+      exit codes: 0 done, 1 refused or invalid, 2 wrong use, 3 no VM answered or could confirm;
+      check of a configuration: 0 no problem, 1 warnings, 2 errors
       """;
 
   private final PrintStream out;
@@ -61,6 +68,9 @@
   private final OptionSpec<String> tokenFile = parser.accepts("token-file").withRequiredArg();
   private final OptionSpec<String> operator = parser.accepts("operator").withRequiredArg();
   private final OptionSpec<Void> json = parser.accepts("json");
+  private final OptionSpec<String> format = parser.accepts("format").withRequiredArg();
+  private final OptionSpec<String> against = parser.accepts("against").withRequiredArg();
+  private final OptionSpec<String> control = parser.accepts("control").withRequiredArg();
   private final OptionSpec<Void> help = parser.accepts("help").forHelp();
   private final OptionSpec<String> positionalArguments = parser.nonOptions();
 
@@ -123,7 +133,11 @@
   }
 
   private ExitCode check(String file, OptionSet options) throws UsageException {
-    RuleParseResult parse = RuleParser.parse(read(file));
+    String text = read(file);
+    if (text.stripLeading().startsWith("{")) {
+      return checkConfiguration(file, text, options);
+    }
+    RuleParseResult parse = RuleParser.parse(text);
     if (parse instanceof RuleParseResult.Invalid invalid) {
       return reportInvalid(file, invalid, options);
     }
@@ -135,6 +149,37 @@
     return print(file + ": valid, number " + number + ", " + rules + " rules\n");
   }
 
+  private ExitCode checkConfiguration(String file, String text, OptionSet options)
+      throws UsageException {
+    if (options.has(against) && options.has(control)) {
+      throw new UsageException("--against and --control exclude each other");
+    }
+    byte[] inForce = null;
+    if (options.has(against)) {
+      inForce = read(options.valueOf(against)).getBytes(UTF_8);
+    } else if (options.has(control)) {
+      try {
+        inForce = ConfigurationReader.read(options.valueOf(control));
+      } catch (IOException e) {
+        return reportUnreachable(e);
+      }
+    }
+    ConfigurationCheck.Report report = ConfigurationCheck.run(text.getBytes(UTF_8), inForce);
+    out.print(wantsJson(options) ? report.json() : report.text(file));
+    return switch (report.exitCode()) {
+      case 0 -> ExitCode.OK;
+      case 1 -> ExitCode.WARNINGS;
+      default -> ExitCode.INVALID;
+    };
+  }
+
+  private boolean wantsJson(OptionSet options) throws UsageException {
+    if (options.has(format) && !Set.of("json", "text").contains(options.valueOf(format))) {
+      throw new UsageException("--format takes json or text");
+    }
+    return options.has(json) || "json".equals(options.valueOf(format));
+  }
+
   private ExitCode reportInvalid(String file, RuleParseResult.Invalid invalid, OptionSet options) {
     if (options.has(json)) {
       ObjectNode body = mapper.createObjectNode().put("verdict", "invalid");
--- a/cli/src/main/java/org/clementinesail/cli/ExitCode.java
+++ b/cli/src/main/java/org/clementinesail/cli/ExitCode.java
@@ -9,7 +9,11 @@
   /** The command line is wrong, a file cannot be read, or the token is rejected (HTTP 401). */
   USAGE(2),
   /** No VM answered, or none could confirm the result; the command may be repeated. */
-  UNAVAILABLE(3);
+  UNAVAILABLE(3),
+  /** The checked configuration is valid, with warnings. */
+  WARNINGS(1),
+  /** The checked configuration is invalid. */
+  INVALID(2);
 
   private final int number;
 
--- a/cli/src/test/java/org/clementinesail/cli/CliMainTest.java
+++ b/cli/src/test/java/org/clementinesail/cli/CliMainTest.java
@@ -27,6 +27,10 @@
     Files.writeString(folder.resolve("good"), "number 4 # Gwen\ndrain target=e1 # Gwen\n");
     Files.writeString(folder.resolve("bad"), "number 4 # Gwen\ndrian target=e1 # Gwen\n");
     Files.writeString(folder.resolve("token"), "0123456789abcdef");
+    String state = "{'version':3,'routes':[],'services':[],'tenants':[]}".replace('\'', '"');
+    Files.writeString(folder.resolve("state"), state);
+    Files.writeString(folder.resolve("next"), state.replace("3", "4"));
+    Files.writeString(folder.resolve("broken"), state.replace("3", "x"));
   }
 
   private RunResult run(String line) {
@@ -104,4 +108,23 @@
     assertTrue(run("help").out().contains("exit codes: 0 done"));
     assertEquals(run("--help").code(), ExitCode.OK);
   }
+
+  /** Command line, exit code and a part of the output. */
+  @DataProvider
+  public Object[][] configurations() {
+    return new Object[][] {
+      {"check @state", ExitCode.OK, "no problems"},
+      {"check @next --against @state", ExitCode.OK, "version 3 -> 4"},
+      {"check @state --against @next --format json", ExitCode.WARNINGS, "\"warning\""},
+      {"check @broken", ExitCode.INVALID, "error: "},
+    };
+  }
+
+  /** A configuration is checked, not taken for a rule file. */
+  @Test(dataProvider = "configurations")
+  public void configurationIsNotChecked(String line, ExitCode code, String part) {
+    RunResult result = run(line);
+    assertEquals(result.code(), code, result.out() + result.err());
+    assertTrue(result.out().contains(part), result.out() + result.err());
+  }
 }
