Exchange the load of all VMs over the leading control VM

Cause: an entry VM knew only its own requests at a target. With many VMs that is next to nothing of the target's load.

Change: entry VMs send LoadReport (frame 21) to the leader, at most four times a second and only while they have load. The leader sums the reports up, drops those older than 3 s, and sends LoadSummary (frame 22) four times a second while there is load. Targets are sent as 32-bit hashes. Each summary names the receiver's last report that it includes, so that a VM can tell its own requests from those of others. Values out of range are left out, counted and logged with field and value. A new leader waits for 2 s, until all VMs have found it. An idle site sends nothing.

--- a/core/src/main/java/org/clementinesail/core/load/FleetLoad.java
+++ b/core/src/main/java/org/clementinesail/core/load/FleetLoad.java
@@ -1,5 +1,6 @@
 package org.clementinesail.core.load;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -21,6 +22,8 @@
   private final Map<String, Integer> inProgress;
   private final Map<Waiting, Integer> waiting;
   private final Map<Demand, Double> demand;
+  private final Map<String, Integer> others;
+  private final Map<String, Double> meanOthers;
 
   /**
    * Identifies the waiting requests of one rank.
@@ -53,11 +56,62 @@
       Map<String, Integer> inProgress,
       Map<Waiting, Integer> waiting,
       Map<Demand, Double> demand) {
+    this(observedAt, reportingVms, inProgress, waiting, demand, inProgress, asMeans(inProgress));
+  }
+
+  private FleetLoad(
+      long observedAt,
+      int reportingVms,
+      Map<String, Integer> inProgress,
+      Map<Waiting, Integer> waiting,
+      Map<Demand, Double> demand,
+      Map<String, Integer> others,
+      Map<String, Double> meanOthers) {
     this.observedAt = observedAt;
     this.reportingVms = reportingVms;
     this.inProgress = Map.copyOf(inProgress);
     this.waiting = Map.copyOf(waiting);
     this.demand = Map.copyOf(demand);
+    this.others = Map.copyOf(others);
+    this.meanOthers = Map.copyOf(meanOthers);
+  }
+
+  private static Map<String, Double> asMeans(Map<String, Integer> counts) {
+    Map<String, Double> means = new HashMap<>();
+    counts.forEach((id, count) -> means.put(id, (double) count));
+    return means;
+  }
+
+  /**
+   * Returns this view with the requests of the other VMs, which are all requests unless stated.
+   *
+   * @param othersInProgress requests of the other VMs in progress by id of the target
+   * @param means their moving averages by id of the target
+   */
+  FleetLoad others(Map<String, Integer> othersInProgress, Map<String, Double> means) {
+    return new FleetLoad(
+        observedAt, reportingVms, inProgress, waiting, demand, othersInProgress, means);
+  }
+
+  /**
+   * Returns the moving average, over about a second, of {@link #othersInProgress}. Requests that
+   * are shorter than the age of this view have ended when it is used, so that their momentary
+   * number says nothing of the present one.
+   *
+   * @param targetId id of the target
+   */
+  public double meanOthersInProgress(String targetId) {
+    return meanOthers.getOrDefault(targetId, 0.0);
+  }
+
+  /**
+   * Returns the requests of the other VMs in progress at a target, without those of this VM that
+   * the view includes; 0 if none is known.
+   *
+   * @param targetId id of the target
+   */
+  public int othersInProgress(String targetId) {
+    return others.getOrDefault(targetId, 0);
   }
 
   /**
--- a/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/LocalLoad.java
@@ -185,4 +185,22 @@
     TargetWork work = workByTarget.get(id);
     return work == null ? 0 : work.endedKvTokenLayers;
   }
+
+  /** Returns the number of this VM's requests that have ended although the last report has them. */
+  int endedRequests(String id) {
+    TargetWork work = workByTarget.get(id);
+    return work == null ? 0 : work.endedSinceReport.size();
+  }
+
+  /** Returns the number of requests of this VM by target, without targets that have none. */
+  public Map<String, Integer> requestCounts() {
+    Map<String, Integer> counts = new HashMap<>();
+    workByTarget.forEach(
+        (id, work) -> {
+          if (work.requests > 0) {
+            counts.put(id, work.requests);
+          }
+        });
+    return counts;
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -30,6 +30,7 @@
 import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetPublisher;
 import org.clementinesail.server.fleet.HttpEndpoint;
+import org.clementinesail.server.fleet.LoadCoordinator;
 import org.clementinesail.server.fleet.PeerDirectory;
 import org.clementinesail.server.fleet.PermitCoordinator;
 import org.clementinesail.server.fleet.PlacementLoop;
@@ -88,6 +89,7 @@
   private final FleetPublisher publisher;
   private final CrashRelay crashRelay;
   private final PermitCoordinator permits;
+  private final LoadCoordinator loads;
   private final PeerDirectory peerDirectory;
   private @Nullable ReplicaDriver replica;
   private @Nullable DesiredState latestDesiredState;
@@ -144,6 +146,7 @@
             this::isLeader,
             this::knowsLeader,
             log);
+    this.loads = new LoadCoordinator(loop, network, publisher::trafficVms, this::isLeader, log);
   }
 
   @Override
@@ -160,6 +163,7 @@
     driver.start();
     publisher.start();
     permits.start();
+    loads.start();
     TargetPool pool = new TargetPool(loop, dialect, log);
     new PlacementLoop(loop, publisher, this::isLeader, this::desiredState, engineDialect, pool, log)
         .start();
@@ -341,6 +345,8 @@
         permits.receive(frame.getRateLimits());
       } else if (frame.hasPermitDemand()) {
         permits.receive(vm, frame.getPermitDemand());
+      } else if (frame.hasLoadReport()) {
+        loads.receive(vm, frame.getLoadReport());
       } else if (frame.hasFleet()) {
         publisher.onFleetUpdate(frame.getFleet());
         subscriptions.updateControlVms(frame.getFleet().getControlVmsList());
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -30,6 +30,7 @@
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.Dialect;
 import org.clementinesail.server.proxy.EngineDialect;
+import org.clementinesail.server.proxy.LoadReports;
 import org.clementinesail.server.proxy.ProxyMetrics;
 import org.clementinesail.server.proxy.ProxyServer;
 import org.clementinesail.server.proxy.RateLimitReports;
@@ -94,6 +95,7 @@
   private final RoutingState routing;
   private final ProxyMetrics metrics = new ProxyMetrics();
   private final ProxyServer proxy;
+  private final LoadReports loadReports;
   private final PeerNetwork network;
   private final Subscriptions subscriptions;
   private final LagDetector lag = new LagDetector(TOLERATED_TIMER_GAP_NANOS, MAX_LATE_NANOS);
@@ -132,6 +134,7 @@
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
     StartupWait startupWait = new StartupWait(System.nanoTime());
     this.proxy = new ProxyServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
+    this.loadReports = new LoadReports(loop, routing, metrics, log);
     this.network =
         PeerNetwork.byAddress(
             settings.name(),
@@ -170,6 +173,7 @@
             new RateLimitReports.Sender(
                 limits -> sendToControlVms(RateLimitCodec.encode(limits, System.nanoTime())),
                 this::sendDemand));
+    loadReports.start(network::send, this::sendToControlVms);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the lag", this::checkLag),
         LAG_CHECK_DELAY_MS,
@@ -276,6 +280,8 @@
             .receive(RateLimitCodec.decode(frame.getRateLimits(), System.nanoTime()));
       } else if (frame.hasPeerVms()) {
         proxy.peers().peers(PeerVmCodec.decode(frame.getPeerVms()));
+      } else if (frame.hasLoadSummary()) {
+        loadReports.receive(vm, frame.getLoadSummary());
       } else if (frame.hasPermitGrants()) {
         leader = vm;
         proxy.rateLimitReports().receiveGrants(RateLimitCodec.decode(frame.getPermitGrants()));
