Choose servers and engines by the load of all VMs

Cause: all VMs in a data centre sent their calls to the local server until it refused. For engines, a VM multiplied its own requests since the last report by the number of VMs.

Change: with a fresh FleetLoad, ServerPicker selects at random in proportion to free slots. Servers elsewhere take part from half of the local slots on. PathPlanner and EngineMemory use by how much the requests of the other VMs have changed since an engine's report. Without a fresh view, the previous rules apply unchanged.

PathPlannerTest and RoutingStateTest pass.

--- a/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -11,6 +11,9 @@
  * same reports and prefer the same engines, so a cautious estimate takes them to have sent to each
  * engine as much as this VM has, and to have ended nothing. The steady estimate takes what they
  * have ended to equal what they have sent, and subtracts what this VM has ended.
+ *
+ * <p>If the load of all VMs is known, both use the change of the other VMs' requests instead, at
+ * the mean size of the requests in the report; the cautious estimate only if it is an increase.
  */
 final class EngineMemory {
   /** Usable share of the memory; the rest is for answers longer than their length hint. */
@@ -21,6 +24,7 @@
   private final EngineModel model;
   private final LocalLoad localLoad;
   private final int vms;
+  private final SentLoad sentLoad;
   private final long now;
 
   /**
@@ -49,26 +53,46 @@
    * @param model properties of the engines
    * @param localLoad requests of this VM at each engine
    * @param vms number of VMs that send requests to the engines
+   * @param sentLoad requests of all VMs at each engine
    * @param now current time in nanoseconds of this VM's monotonic clock
    */
-  EngineMemory(EngineModel model, LocalLoad localLoad, int vms, long now) {
+  EngineMemory(EngineModel model, LocalLoad localLoad, int vms, SentLoad sentLoad, long now) {
     this.model = model;
     this.localLoad = localLoad;
     this.vms = vms;
+    this.sentLoad = sentLoad;
     this.now = now;
   }
 
   /** Returns the use of an engine if the other VMs have sent to it as much as this one has. */
   Use cautious(Fleet.Member engine, LayerRange layers, int tokens) {
     double own = localLoad.unreportedKvTokenLayers(engine.statement().id());
-    return use(engine, layers, tokens, own * vms);
+    double change =
+        sentLoad.isKnown() ? own + Math.max(0, othersChange(engine, layers, tokens)) : own * vms;
+    return use(engine, layers, tokens, change);
   }
 
   /** Returns the use of an engine if the other VMs have ended as much there as they have sent. */
   Use steady(Fleet.Member engine, LayerRange layers, int tokens) {
     String id = engine.statement().id();
     double ended = Math.min(reportedUse(engine), (double) localLoad.endedKvTokenLayers(id));
-    return use(engine, layers, tokens, localLoad.unreportedKvTokenLayers(id) - ended);
+    double change = localLoad.unreportedKvTokenLayers(id) - ended;
+    return use(engine, layers, tokens, change + othersChange(engine, layers, tokens));
+  }
+
+  /** Returns the change by the other VMs since the report; 0 if it is not known. */
+  private double othersChange(Fleet.Member engine, LayerRange layers, int tokens) {
+    double requests = sentLoad.othersChange(engine);
+    if (requests == 0) {
+      return 0;
+    }
+    double mean =
+        engine
+            .freshReport(now)
+            .filter(report -> report.running() > 0 && report.kvUsed() > 0)
+            .map(report -> (double) report.kvUsed() / report.running())
+            .orElse((double) tokens * layers.size());
+    return Math.max(-reportedUse(engine), requests * mean);
   }
 
   private Use use(Fleet.Member engine, LayerRange layers, int tokens, double changed) {
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -10,11 +10,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.EngineModel.Accelerator;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.targets.LayerRange;
 import org.jspecify.annotations.Nullable;
 
@@ -23,10 +26,11 @@
  * expected time, among engines with enough memory for the request.
  *
  * <p>Several VMs may send steady or bursty load at the same time, and all see the same engine
- * reports. Therefore the requests that this VM has sent since a report are multiplied by the number
- * of VMs, and a small random factor keeps the VMs from all choosing the same engine. Only if no
- * path has memory by that estimate, the steady one decides, so that no request is refused for load
- * that may not exist.
+ * reports. What the others have sent since a report follows from the load of all VMs; if that is
+ * not known, the requests that this VM has sent since the report are multiplied by the number of
+ * VMs. A small random factor keeps the VMs from all choosing the same engine. Only if no path has
+ * memory by that estimate, the steady one decides, so that no request is refused for load that may
+ * not exist.
  */
 public final class PathPlanner {
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -63,6 +67,7 @@
   private final LocalLoad localLoad;
   private final LinkLoad linkLoad;
   private final LinkHealth linkHealth;
+  private final Supplier<FleetLoad> fleetLoad;
   private final RandomGenerator random;
 
   /**
@@ -78,11 +83,6 @@
   private record Candidate(
       Fleet.Member member, LayerRange layers, double millisPerLayer, boolean mayBeFirst) {}
 
-  /** Decides whether an engine has memory for the request. */
-  private interface Admission {
-    boolean admits(Fleet.Member engine, LayerRange layers);
-  }
-
   /**
    * The cheapest path found so far that ends at a layer boundary, in one data centre.
    *
@@ -103,9 +103,28 @@
    */
   public PathPlanner(
       LocalLoad localLoad, LinkLoad linkLoad, LinkHealth linkHealth, RandomGenerator random) {
+    this(localLoad, linkLoad, linkHealth, () -> FleetLoad.NONE, random);
+  }
+
+  /**
+   * Creates a planner.
+   *
+   * @param localLoad requests of this VM at each target
+   * @param linkLoad utilization of the link between data centres
+   * @param linkHealth health of the links to other data centres
+   * @param fleetLoad supplies the last known load of all VMs
+   * @param random source of the random factors
+   */
+  public PathPlanner(
+      LocalLoad localLoad,
+      LinkLoad linkLoad,
+      LinkHealth linkHealth,
+      Supplier<FleetLoad> fleetLoad,
+      RandomGenerator random) {
     this.localLoad = localLoad;
     this.linkLoad = linkLoad;
     this.linkHealth = linkHealth;
+    this.fleetLoad = fleetLoad;
     this.random = random;
   }
 
@@ -130,34 +149,40 @@
       Set<String> notFirst,
       int vms,
       long now) {
-    EngineMemory memory = new EngineMemory(model, localLoad, vms, now);
+    SentLoad sent = new SentLoad(localLoad, fleetLoad.get(), vms, now);
+    EngineMemory memory = new EngineMemory(model, localLoad, vms, sent, now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
-    Admission cautious = (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
+    BiPredicate<Fleet.Member, LayerRange> cautious =
+        (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
     List<Fleet.Member> usable =
         engines.stream()
             .filter(engine -> !excluded.contains(engine.statement().id()))
             .filter(engine -> !engine.isSuspect(now))
             .toList();
-    Optional<List<Hop>> path = plan(model, usable, cautious, requirements, notFirst, vms, now);
+    Optional<List<Hop>> path =
+        plan(model, usable, cautious, requirements, notFirst, sent, vms, now);
     if (path.isPresent()) {
       return path;
     }
-    Admission steady = (engine, layers) -> memory.steady(engine, layers, tokens).fits();
-    return plan(model, usable, steady, requirements, notFirst, vms, now);
+    BiPredicate<Fleet.Member, LayerRange> steady =
+        (engine, layers) -> memory.steady(engine, layers, tokens).fits();
+    return plan(model, usable, steady, requirements, notFirst, sent, vms, now);
   }
 
   private Optional<List<Hop>> plan(
       EngineModel model,
       List<Fleet.Member> engines,
-      Admission admission,
+      BiPredicate<Fleet.Member, LayerRange> admission,
       Requirements requirements,
       Set<String> notFirst,
+      SentLoad sent,
       int vms,
       long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (Fleet.Member engine : engines) {
       boolean first = !notFirst.contains(engine.statement().id());
-      candidate(model, engine, admission, requirements, first, vms, now).ifPresent(candidates::add);
+      candidate(model, engine, admission, requirements, first, sent, now)
+          .ifPresent(candidates::add);
     }
     double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
@@ -189,7 +214,9 @@
       Set<String> excluded,
       Set<String> notFirst,
       long now) {
-    EngineMemory memory = new EngineMemory(model, localLoad, 1, now);
+    EngineMemory memory =
+        new EngineMemory(
+            model, localLoad, 1, new SentLoad(localLoad, fleetLoad.get(), 1, now), now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
     PathGaps gaps = new PathGaps(model.layers(), now, ready, excluded, notFirst);
     for (Fleet.Member member : known) {
@@ -204,24 +231,22 @@
   private Optional<Candidate> candidate(
       EngineModel model,
       Fleet.Member engine,
-      Admission admission,
+      BiPredicate<Fleet.Member, LayerRange> admission,
       Requirements requirements,
       boolean mayBeFirst,
-      int vms,
+      SentLoad sent,
       long now) {
     LayerRange layers = engine.layers();
-    String id = engine.statement().id();
     Accelerator kind = model.accelerator(engine.statement().accelerator()).orElse(null);
     if (layers == null || layers.to() > model.layers() || kind == null) {
       return Optional.empty();
     }
-    if (!admission.admits(engine, layers)) {
+    if (!admission.test(engine, layers)) {
       return Optional.empty();
     }
     EngineReport report = engine.freshReport(now).orElse(null);
-    double unreported = (double) localLoad.unreportedRequests(id) * vms;
-    double running =
-        report == null ? (double) localLoad.requestCount(id) * vms : report.running() + unreported;
+    double unreported = sent.unreported(engine);
+    double running = sent.running(engine);
     double waiting = report == null ? 0 : report.waiting();
     double slowdown = report == null ? 1 : Math.max(1, report.slowdown());
     double contextThousands =
--- a/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
+++ b/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
@@ -3,12 +3,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.load.FleetLoad;
 
 /**
- * Selects the server for a service call: the one with the fewest calls of this VM in progress per
- * slot, with a preference for the VM's own data centre.
+ * Selects the server for a service call, with a preference for the VM's own data centre.
+ *
+ * <p>If the load of all VMs is known, the server is selected at random, in proportion to its free
+ * slots: VMs that see the same load would all select the same best server. Servers of other data
+ * centres take part as far as those of this one are loaded. Otherwise, the server with the fewest
+ * calls of this VM in progress per slot is selected.
  *
  * <p>Call times may vary, and there may be only a few servers. Counting the calls in progress
  * avoids a server that is occupied by a long call.
@@ -20,7 +26,17 @@
   /** Upper limit of the random cost that breaks ties, in calls in progress per slot. */
   private static final double TIE_BREAK_RANGE = 0.05;
 
+  /**
+   * Load of the servers in this data centre, as a share of their slots, up to which calls stay. At
+   * half of the slots, calls seldom find a server full.
+   */
+  private static final double STAYING_LOAD = 0.5;
+
+  /** Least weight of a server, as a share of its slots: the load is up to half a second old. */
+  private static final double MIN_FREE_SHARE = 0.05;
+
   private final LocalLoad localLoad;
+  private final Supplier<FleetLoad> fleetLoad;
   private final RandomGenerator random;
 
   /**
@@ -30,7 +46,19 @@
    * @param random breaks ties between equally loaded servers
    */
   public ServerPicker(LocalLoad localLoad, RandomGenerator random) {
+    this(localLoad, () -> FleetLoad.NONE, random);
+  }
+
+  /**
+   * Creates a picker.
+   *
+   * @param localLoad requests of this VM at each target
+   * @param fleetLoad supplies the last known load of all VMs
+   * @param random selects between servers
+   */
+  public ServerPicker(LocalLoad localLoad, Supplier<FleetLoad> fleetLoad, RandomGenerator random) {
     this.localLoad = localLoad;
+    this.fleetLoad = fleetLoad;
     this.random = random;
   }
 
@@ -45,6 +73,10 @@
    */
   public Optional<Fleet.Member> pick(
       List<Fleet.Member> servers, Set<String> excluded, String dataCentre, long now) {
+    FleetLoad load = fleetLoad.get();
+    if (load.isFresh(now)) {
+      return pickByFreeSlots(load, servers, excluded, dataCentre, now);
+    }
     Fleet.Member best = null;
     double lowestCost = Double.MAX_VALUE;
     for (Fleet.Member server : servers) {
@@ -61,10 +93,69 @@
     return Optional.ofNullable(best);
   }
 
+  private Optional<Fleet.Member> pickByFreeSlots(
+      FleetLoad load,
+      List<Fleet.Member> servers,
+      Set<String> excluded,
+      String dataCentre,
+      long now) {
+    List<Fleet.Member> usable =
+        servers.stream().filter(server -> !excluded.contains(server.statement().id())).toList();
+    List<Fleet.Member> trusted = usable.stream().filter(server -> !server.isSuspect(now)).toList();
+    List<Fleet.Member> candidates = trusted.isEmpty() ? usable : trusted;
+    double remoteFactor = remoteFactor(load, candidates, dataCentre);
+    double[] weights = new double[candidates.size()];
+    double sum = 0;
+    for (int i = 0; i < weights.length; i++) {
+      Fleet.Member server = candidates.get(i);
+      weights[i] = freeSlots(load, server) * (isIn(server, dataCentre) ? 1 : remoteFactor);
+      sum += weights[i];
+    }
+    double remaining = sum * random.nextDouble();
+    for (int i = 0; i < weights.length; i++) {
+      remaining -= weights[i];
+      if (remaining < 0) {
+        return Optional.of(candidates.get(i));
+      }
+    }
+    return candidates.stream().findFirst();
+  }
+
+  /** Returns the weight of a free slot in another data centre, from 0 to 1. */
+  private double remoteFactor(FleetLoad load, List<Fleet.Member> servers, String dataCentre) {
+    double slots = 0;
+    double requests = 0;
+    for (Fleet.Member server : servers) {
+      if (isIn(server, dataCentre)) {
+        slots += slots(server);
+        requests += requests(load, server);
+      }
+    }
+    double used = slots > 0 ? Math.min(1, requests / slots) : 1;
+    return Math.max(0, used - STAYING_LOAD) / (1 - STAYING_LOAD);
+  }
+
+  private double freeSlots(FleetLoad load, Fleet.Member server) {
+    double slots = slots(server);
+    return Math.max(slots - requests(load, server), slots * MIN_FREE_SHARE);
+  }
+
+  private double requests(FleetLoad load, Fleet.Member server) {
+    String id = server.statement().id();
+    return load.meanOthersInProgress(id) + localLoad.requestCount(id);
+  }
+
+  private static int slots(Fleet.Member server) {
+    return Math.max(1, server.statement().slots());
+  }
+
+  private static boolean isIn(Fleet.Member server, String dataCentre) {
+    return server.statement().dataCentre().equals(dataCentre);
+  }
+
   private double cost(Fleet.Member server, String dataCentre) {
-    int slots = Math.max(1, server.statement().slots());
-    double remote = server.statement().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY;
-    double load = (double) localLoad.requestCount(server.statement().id()) / slots;
+    double remote = isIn(server, dataCentre) ? 0 : REMOTE_PENALTY;
+    double load = (double) localLoad.requestCount(server.statement().id()) / slots(server);
     return load + remote + TIE_BREAK_RANGE * random.nextDouble();
   }
 }
--- a/core/src/test/java/org/clementinesail/core/paths/PathFleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/paths/PathFleetTest.java
@@ -17,6 +17,12 @@
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
+import org.clementinesail.core.load.FleetLoad;
+import org.clementinesail.core.load.LoadCounts;
+import org.clementinesail.core.load.LoadMerge;
+import org.clementinesail.core.load.LoadReport;
+import org.clementinesail.core.load.LoadReporter;
+import org.clementinesail.core.load.LoadSummary;
 import org.clementinesail.core.placement.TestModels;
 import org.clementinesail.core.targets.LayerRange;
 import org.testng.annotations.DataProvider;
@@ -30,6 +36,11 @@
   private static final int PROMPT_TOKENS = 774;
   private static final int ANSWER_TOKENS = 203;
   private static final long REPORT_INTERVAL = TimeUnit.SECONDS.toNanos(1);
+  private static final long LOAD_INTERVAL = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Time of a message from one VM to another. */
+  private static final long MESSAGE_TIME = TimeUnit.MILLISECONDS.toNanos(5);
+
   private static final long STATE_AGE = TimeUnit.MILLISECONDS.toNanos(200);
 
   /** An engine and what it really holds. */
@@ -60,10 +71,13 @@
   private static final class Vm {
     final Fleet fleet = new Fleet(TimeUnit.HOURS.toNanos(1));
     final LocalLoad load = new LocalLoad();
+    final LoadReporter reporter = new LoadReporter();
     final PathPlanner planner;
+    FleetLoad fleetLoad = FleetLoad.NONE;
 
     Vm(long seed) {
-      planner = new PathPlanner(load, new LinkLoad(), new LinkHealth(), new Random(seed));
+      Random random = new Random(seed);
+      planner = new PathPlanner(load, new LinkLoad(), new LinkHealth(), () -> fleetLoad, random);
     }
   }
 
@@ -76,6 +90,7 @@
     final List<Vm> vms = new ArrayList<>();
     final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> Long.compare(a.at(), b.at()));
     final Vm informed;
+    final LoadMerge merge = new LoadMerge(-TimeUnit.SECONDS.toNanos(10));
     int requests;
     int refused;
     int refusedWithRoom;
@@ -121,6 +136,10 @@
       for (Engine engine : engines.values()) {
         at(random.nextLong(REPORT_INTERVAL), time -> report(engine, time));
       }
+      for (Vm vm : vms) {
+        at(random.nextLong(LOAD_INTERVAL), time -> reportLoad(vm, time));
+      }
+      at(random.nextLong(LOAD_INTERVAL), this::summarizeLoad);
       long until = TimeUnit.SECONDS.toNanos(SECONDS);
       long now = 1;
       while (now < until) {
@@ -185,6 +204,37 @@
       }
     }
 
+    /** Reports the load of a VM to the leader, as each VM does every 250 ms. */
+    private void reportLoad(Vm vm, long now) {
+      Map<Integer, Integer> counts = LoadCounts.byHash(vm.load.requestCounts());
+      Optional<LoadReport> report =
+          vm.reporter.next(new LoadCounts(counts, Map.of(), Map.of()), now);
+      report.ifPresent(
+          r -> at(now + MESSAGE_TIME, time -> merge.record("" + vms.indexOf(vm), r, time)));
+      if (now < TimeUnit.SECONDS.toNanos(SECONDS)) {
+        at(now + LOAD_INTERVAL, time -> reportLoad(vm, time));
+      }
+    }
+
+    /** Sends the load of all VMs to each of them, as the leader does every 250 ms. */
+    private void summarizeLoad(long now) {
+      if (merge.isDue(now)) {
+        LoadCounts sum = merge.sum();
+        for (int i = 0; i < VMS; i++) {
+          Vm vm = vms.get(i);
+          LoadSummary summary =
+              new LoadSummary(merge.includedSequence("" + i), merge.reportingVms(), sum);
+          at(
+              now + MESSAGE_TIME,
+              time ->
+                  vm.fleetLoad = vm.reporter.receive("c", summary, engines.keySet(), time).load());
+        }
+      }
+      if (now < TimeUnit.SECONDS.toNanos(SECONDS)) {
+        at(now + LOAD_INTERVAL, this::summarizeLoad);
+      }
+    }
+
     private void request(long now) {
       requests++;
       Vm vm = vms.get(random.nextInt(VMS));
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -83,8 +83,9 @@
     this.random = random;
     this.fleet = new Fleet(settings.leaseNanos());
     this.permissions = new SendPermissions(random);
-    this.pathPlanner = new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, random);
-    this.serverPicker = new ServerPicker(ownLoad, random);
+    this.pathPlanner =
+        new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, this::fleetLoad, random);
+    this.serverPicker = new ServerPicker(ownLoad, this::fleetLoad, random);
   }
 
   /** Returns the current desired state, or empty if none is known yet. */
