Pass on unchanged heartbeats as short renewals

Cause: a control VM sends each heartbeat of each target in full to each entry VM. Change: Subscribe.accepts_renewals and FleetUpdate.renewals. A heartbeat that differs from the known statement in the sequence only is sent as a 64-bit digest of the statement and the sequence. A subscriber that knows no such statement asks for a full update, at most once a second. Older subscribers get full statements, older control VMs send them. Control VMs accept renewals of each other too.

--- a/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
+++ b/core/src/main/java/org/clementinesail/core/fleet/TargetStatement.java
@@ -1,5 +1,6 @@
 package org.clementinesail.core.fleet;
 
+import java.util.List;
 import org.clementinesail.core.targets.LayerRange;
 import org.jspecify.annotations.Nullable;
 
@@ -113,4 +114,30 @@
         startedAtMillis,
         sequence);
   }
+
+  /**
+   * Returns a copy of this statement with another sequence.
+   *
+   * @param next sequence of the copy
+   */
+  public TargetStatement withSequence(long next) {
+    return new TargetStatement(
+        id, service, address, dataCentre, slots, phase, accelerator, layers, startedAtMillis, next);
+  }
+
+  /**
+   * Returns a hash of all components except the sequence. VMs of different builds compare it, so it
+   * must not change: a component that is added later is left out while it has its default.
+   */
+  public long digest() {
+    long hash = StatementDigest.start();
+    for (String text : List.of(id, service, address, dataCentre, accelerator)) {
+      hash = StatementDigest.add(hash, text);
+    }
+    hash = StatementDigest.add(hash, slots);
+    hash = StatementDigest.add(hash, phase.name());
+    hash = StatementDigest.add(hash, layers == null ? 0 : layers.from());
+    hash = StatementDigest.add(hash, layers == null ? 0 : layers.to());
+    return StatementDigest.add(hash, startedAtMillis);
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -4,9 +4,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ErrorLoggingTask;
@@ -55,28 +56,18 @@
   private final DecisionLog log;
   private final FleetUpdateReader updateReader;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
-  private final Map<Lifetime, TargetStatement> statements = new LinkedHashMap<>();
-  private final Map<String, EngineReport> reports = new LinkedHashMap<>();
+  private final StatementRenewals renewals;
+  private final UnsentNews unsent = new UnsentNews();
   private DesiredDocument desired = DesiredDocument.NONE;
   private final List<Runnable> pushCallbacks = new ArrayList<>();
   private boolean pushScheduled;
   private long desiredPushedAt = System.nanoTime() - MIN_PUSH_INTERVAL_NANOS;
 
-  /**
-   * What a statement of another writer may differ in from those of the target with its id. Both are
-   * sent, as the subscribers know which services the desired state names.
-   */
-  private record Lifetime(String id, String service, String address, long startedAtMillis) {
-    static Lifetime of(TargetStatement statement) {
-      return new Lifetime(
-          statement.id(), statement.service(), statement.address(), statement.startedAtMillis());
-    }
-  }
-
   private static final class Subscriber {
     long renewedAt;
     long desiredVersion;
     boolean carriesTraffic;
+    boolean acceptsRenewals;
   }
 
   /**
@@ -109,6 +100,7 @@
     this.leaderKnown = leaderKnown;
     this.cutOffVms = cutOffVms;
     this.log = log;
+    this.renewals = new StatementRenewals(fleet);
     this.updateReader = new FleetUpdateReader(log);
   }
 
@@ -133,9 +125,9 @@
    */
   public void onHeartbeat(TargetStatement statement) {
     fleet.recordContact(System.nanoTime());
+    Optional<TargetStatement> known = fleet.member(statement.id()).map(Fleet.Member::statement);
     boolean changed = fleet.recordStatement(statement, System.nanoTime());
-    statements.merge(
-        Lifetime.of(statement), statement, (sent, next) -> next.supersedes(sent) ? next : sent);
+    unsent.add(statement, known.orElse(null));
     if (changed) {
       log.write(
           "target",
@@ -179,21 +171,23 @@
    */
   public void onReport(EngineReport report, long suspectUntil) {
     fleet.recordReport(report, suspectUntil);
-    reports.put(report.id(), report);
+    unsent.add(report);
   }
 
   /**
    * Records an update from another control VM. It is not sent on to subscribers.
    *
    * @param update the update
+   * @return whether this VM knows all statements that the update renews
    */
-  public void onFleetUpdate(FleetUpdate update) {
+  public boolean onFleetUpdate(FleetUpdate update) {
     long now = System.nanoTime();
-    if (update.getStatementsCount() > 0) {
+    if (FleetUpdateReader.hasStatements(update)) {
       fleet.recordContact(now);
     }
     updateReader.read(
         update, now, fleet::recordStatement, report -> fleet.recordReport(report, now));
+    return updateReader.readRenewals(update, now, renewals);
   }
 
   /**
@@ -207,6 +201,7 @@
     Subscriber subscriber = subscribers.computeIfAbsent(vm, key -> new Subscriber());
     subscriber.renewedAt = System.nanoTime();
     subscriber.carriesTraffic = subscribe.getCarriesTraffic();
+    subscriber.acceptsRenewals = subscribe.getAcceptsRenewals();
     subscriber.desiredVersion = subscribe.getDesiredVersion();
     if (subscribe.getEverything()) {
       network.send(vm, frame(fullUpdate()));
@@ -297,16 +292,25 @@
   private void sendUpdate() {
     long now = System.nanoTime();
     subscribers.values().removeIf(s -> now - s.renewedAt > SUBSCRIPTION_TTL_NANOS);
-    if (statements.isEmpty() && reports.isEmpty()) {
+    if (unsent.isEmpty()) {
       return;
     }
-    FleetUpdate.Builder update = newUpdate();
-    statements.values().forEach(s -> update.addStatements(FleetCodec.encode(s, now, now)));
-    reports.values().forEach(r -> update.addReports(FleetCodec.encode(r, now)));
-    statements.clear();
-    reports.clear();
-    Frame frame = frame(update.build());
-    subscribers.keySet().forEach(vm -> network.send(vm, frame));
+    FleetUpdate header = newUpdate().build();
+    send(false, () -> unsent.statements(header, now));
+    send(true, () -> unsent.renewals(header, now));
+    unsent.clear();
+  }
+
+  private void send(boolean acceptsRenewals, Supplier<FleetUpdate> update) {
+    List<String> vms =
+        subscribers.entrySet().stream()
+            .filter(entry -> entry.getValue().acceptsRenewals == acceptsRenewals)
+            .map(Map.Entry::getKey)
+            .toList();
+    if (!vms.isEmpty()) {
+      Frame frame = frame(update.get());
+      vms.forEach(vm -> network.send(vm, frame));
+    }
   }
 
   private FleetUpdate fullUpdate() {
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetUpdateReader.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetUpdateReader.java
@@ -3,11 +3,13 @@
 import com.google.common.base.Ascii;
 import java.util.function.Consumer;
 import org.clementinesail.core.fleet.EngineReport;
+import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.wire.CodecException;
 import org.clementinesail.wire.FleetCodec;
 import org.clementinesail.wire.proto.FleetUpdate;
+import org.clementinesail.wire.proto.RenewalList;
 import org.clementinesail.wire.proto.ReportImage;
 import org.clementinesail.wire.proto.StatementImage;
 
@@ -68,6 +70,40 @@
     }
   }
 
+  /**
+   * Applies the renewals of an update, after its statements.
+   *
+   * @param update the update
+   * @param now current time in nanoseconds of the monotonic clock
+   * @param renewals the targets that the receiver knows
+   * @return whether all are of statements that the receiver knows
+   */
+  public boolean readRenewals(FleetUpdate update, long now, StatementRenewals renewals) {
+    RenewalList list = update.getRenewals();
+    int count = Math.min(list.getDigestsCount(), list.getSequencesCount());
+    boolean allKnown = true;
+    for (int i = 0; i < count; i++) {
+      long sequence = list.getSequences(i);
+      if (sequence >= 0) {
+        allKnown &= renewals.renew(list.getDigests(i), sequence, now);
+      } else {
+        logInvalid(
+            Long.toHexString(list.getDigests(i)),
+            new CodecException("a renewal of a target has a sequence out of range"));
+      }
+    }
+    return allKnown;
+  }
+
+  /**
+   * Returns whether an update shows that statements of targets reach the sender.
+   *
+   * @param update the update
+   */
+  public static boolean hasStatements(FleetUpdate update) {
+    return update.getStatementsCount() > 0 || update.getRenewals().getDigestsCount() > 0;
+  }
+
   private void logInvalid(String id, CodecException e) {
     log.write(
         "invalid news of a target",
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -342,7 +342,9 @@
       } else if (frame.hasPermitDemand()) {
         permits.receive(vm, frame.getPermitDemand());
       } else if (frame.hasFleet()) {
-        publisher.onFleetUpdate(frame.getFleet());
+        if (!publisher.onFleetUpdate(frame.getFleet())) {
+          subscriptions.requestUnknownStatements(vm, System.nanoTime());
+        }
         subscriptions.updateControlVms(frame.getFleet().getControlVmsList());
       }
     }
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.PlannedStop;
@@ -92,6 +93,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
   private final RoutingState routing;
+  private final StatementRenewals renewals;
   private final ProxyMetrics metrics = new ProxyMetrics();
   private final ProxyServer proxy;
   private final PeerNetwork network;
@@ -130,6 +132,7 @@
             settings.retryRatio(),
             settings.retryAllowance());
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
+    this.renewals = new StatementRenewals(routing.fleet());
     StartupWait startupWait = new StartupWait(System.nanoTime());
     this.proxy = new ProxyServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
     this.network =
@@ -265,7 +268,7 @@
     @Override
     public void received(String vm, Frame frame) {
       if (frame.hasFleet()) {
-        applyFleetUpdate(frame.getFleet());
+        applyFleetUpdate(vm, frame.getFleet());
       } else if (frame.hasDesired()) {
         applyDesired(vm, StateCodec.decode(frame.getDesired()));
       } else if (frame.hasPartCrashes()) {
@@ -328,9 +331,9 @@
     network.peers().forEach(vm -> network.send(vm, frame));
   }
 
-  private void applyFleetUpdate(FleetUpdate update) {
+  private void applyFleetUpdate(String vm, FleetUpdate update) {
     long now = System.nanoTime();
-    if (update.getStatementsCount() > 0) {
+    if (FleetUpdateReader.hasStatements(update)) {
       routing.fleet().recordContact(now);
     }
     // An engine that a control VM could not reach is avoided for 1.8 s, longer than the time
@@ -341,6 +344,9 @@
         now,
         (statement, receivedAt) -> applyStatement(statement, receivedAt, now),
         report -> routing.recordReport(report, suspectUntil));
+    if (!updateReader.readRenewals(update, now, renewals)) {
+      subscriptions.requestUnknownStatements(vm, now);
+    }
     if (update.getTrafficVms() > 0) {
       routing.trafficVms(update.getTrafficVms());
       routing.sendingVms(update.getSendingVms());
--- a/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -21,12 +21,16 @@
   /** Number of renewals to a control VM of which one asks for other VMs that carry traffic. */
   private static final int PEER_LIST_RENEWALS = 20;
 
+  /** Shortest time between two requests for a full update after renewals of unknown statements. */
+  private static final long MIN_FULL_UPDATE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final PeerNetwork network;
   private final LongSupplier desiredVersion;
   private final @Nullable Relaying relaying;
   private Set<String> seeds = Set.of();
   private Set<String> controlVms = Set.of();
   private int renewals;
+  private long fullUpdateRequestedAt = System.nanoTime() - MIN_FULL_UPDATE_INTERVAL_NANOS;
 
   /**
    * What a VM that carries traffic states of itself to others.
@@ -71,9 +75,27 @@
 
   /** Requests a full update on a new connection, as updates may have been lost with the old one. */
   void requestFullUpdate(String vm) {
+    fullUpdateRequestedAt = System.nanoTime();
     network.send(vm, subscribeFrame(true, true));
   }
 
+  /**
+   * Requests a full update from a control VM that renews statements which this VM does not know, at
+   * most once a second in total.
+   *
+   * @param vm the control VM
+   * @param now current time in nanoseconds of the monotonic clock
+   * @return whether the request is due
+   */
+  boolean requestUnknownStatements(String vm, long now) {
+    if (now - fullUpdateRequestedAt < MIN_FULL_UPDATE_INTERVAL_NANOS) {
+      return false;
+    }
+    fullUpdateRequestedAt = now;
+    network.send(vm, subscribeFrame(true, false));
+    return true;
+  }
+
   /** Tells all control VMs at once that this VM is cut off, or is no more, and asks for others. */
   void reportReachability() {
     Frame frame = subscribeFrame(false, true);
@@ -101,7 +123,8 @@
     Subscribe.Builder subscribe =
         Subscribe.newBuilder()
             .setDesiredVersion(desiredVersion.getAsLong())
-            .setEverything(fullUpdate);
+            .setEverything(fullUpdate)
+            .setAcceptsRenewals(true);
     if (relaying != null) {
       subscribe
           .setCarriesTraffic(true)
