Check the progress of requests only while there are any

Cause: the check ran every 25 ms in idle processes. Change: it starts with the first request and stops at the first check that finds neither requests nor connections to other VMs that are watched. The watch of other VMs begins to count time when the checks start, so the time to the detection of a frozen VM stays the same.

--- a/core/src/main/java/org/clementinesail/core/reachability/PeerLiveness.java
+++ b/core/src/main/java/org/clementinesail/core/reachability/PeerLiveness.java
@@ -134,6 +134,11 @@
     return watches.containsKey(peer.name());
   }
 
+  /** Returns whether any VM has requests of this one. */
+  public boolean isWatching() {
+    return !watches.isEmpty();
+  }
+
   /** Returns the VMs that have requests of this one and give no sign of life. */
   public List<PeerVm> frozen() {
     return watches.values().stream().map(watch -> watch.peer).filter(this::isFrozen).toList();
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -61,6 +61,11 @@
     watch.tick(now);
   }
 
+  /** Returns whether no VM has requests of this one, nor a connection that is to be closed. */
+  boolean isQuiet() {
+    return watch.isQuiet();
+  }
+
   /**
    * Returns whether the VM that serves an attempt has frozen, or the target of an attempt is silent
    * because this VM is cut off from its service. If no target of the service sends anything, checks
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerWatch.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerWatch.java
@@ -80,6 +80,13 @@
     reported.remove(peer);
   }
 
+  /**
+   * Returns whether no VM is watched and no connection is open; {@link #tick} does nothing then.
+   */
+  boolean isQuiet() {
+    return lines.isEmpty() && !liveness.isWatching();
+  }
+
   /** Returns whether a VM that serves requests for this one gives no sign of life. */
   boolean isFrozen(PeerVm peer) {
     return liveness.isFrozen(peer);
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -56,6 +57,7 @@
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
   private @Nullable PlannedStop plannedStop;
+  private @Nullable ScheduledFuture<?> progressChecks;
 
   /**
    * Creates a server; {@link #listen} starts it.
@@ -123,11 +125,6 @@
    */
   public void listen(InetSocketAddress address) {
     serverChannels.add(bind(address, context));
-    loop.scheduleWithFixedDelay(
-        new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
-        PROGRESS_CHECK_INTERVAL_MS,
-        PROGRESS_CHECK_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("closing idle connections", this::closeExpired),
         IDLE_CHECK_INTERVAL_MS,
@@ -232,9 +229,28 @@
     return context.peers().checks().reachability().cutOff().isEmpty();
   }
 
+  /** Checks the progress of requests until none is left, so that an idle process does not wake. */
+  private void startProgressChecks() {
+    if (progressChecks == null) {
+      // The watch of other VMs counts time from here on.
+      context.peers().tick(System.nanoTime());
+      progressChecks =
+          loop.scheduleWithFixedDelay(
+              new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
+              PROGRESS_CHECK_INTERVAL_MS,
+              PROGRESS_CHECK_INTERVAL_MS,
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void checkProgress() {
     long now = System.nanoTime();
     context.peers().tick(now);
+    if (exchanges.isEmpty() && context.peers().isQuiet() && progressChecks != null) {
+      progressChecks.cancel(false);
+      progressChecks = null;
+      return;
+    }
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.guardCheck(() -> exchange.checkProgress(now));
     }
@@ -264,6 +280,7 @@
 
   void exchangeStarted(Exchange exchange) {
     exchanges.add(exchange);
+    startProgressChecks();
   }
 
   void exchangeEnded(Exchange exchange) {
