Notify of the desired state only when it has changed

Cause: the thread of the replica handed the newest desired state to the event loop after each batch, also empty ones, and so woke it about 33 times a second. Change: the listener is called when the version differs from the last one that it got.

--- a/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
@@ -14,6 +14,7 @@
 import org.clementinesail.core.replication.ReplicaMessage;
 import org.clementinesail.core.replication.Snapshot;
 import org.clementinesail.core.state.CommandResult;
+import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.core.state.SystemState;
 import org.clementinesail.server.storage.ReplicaStore;
 import org.clementinesail.server.storage.StorageException;
@@ -41,6 +42,9 @@
   private long appliedIndex;
   private long bytesSinceSnapshot;
 
+  /** Version that the listener knows; each notification wakes the event loop. */
+  private long notifiedVersion;
+
   ReplicaSession(
       ReplicaOpener.OpenReplica opened,
       Consumer<ReplicaMessage> sender,
@@ -75,13 +79,15 @@
   }
 
   /**
-   * Notifies the listener of the newest desired state, once per batch because the log that is
-   * replayed after a start holds many versions. Completes proposals only afterwards, so that VMs
-   * that act on a change learn of it before its proposer does.
+   * Notifies the listener of the newest desired state if it has changed, once per batch because the
+   * log that is replayed after a start holds many versions. Completes proposals only afterwards, so
+   * that VMs that act on a change learn of it before its proposer does.
    */
   void notifyAccepted() {
-    if (state.desiredDocument().version() > 0) {
-      listener.desiredAccepted(state.desiredDocument());
+    DesiredDocument desired = state.desiredDocument();
+    if (desired.version() != notifiedVersion) {
+      listener.desiredAccepted(desired);
+      notifiedVersion = desired.version();
     }
     completions.forEach(Runnable::run);
     completions.clear();
