--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -348,7 +348,9 @@
       } else if (frame.hasLoadReport()) {
         loads.receive(vm, frame.getLoadReport());
       } else if (frame.hasFleet()) {
-        publisher.onFleetUpdate(frame.getFleet());
+        if (!publisher.onFleetUpdate(frame.getFleet())) {
+          subscriptions.requestUnknownStatements(vm, System.nanoTime());
+        }
         subscriptions.updateControlVms(frame.getFleet().getControlVmsList());
       }
     }
