--- a/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
+++ b/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
@@ -184,4 +184,19 @@
   public Optional<Workspace> workspaceByKey(String key) {
     return Optional.ofNullable(workspacesByKey.get(key));
   }
+
+  /**
+   * Returns the shortest time within which an answer of a service has its full value, over the
+   * routes that use it, in milliseconds; {@link Long#MAX_VALUE} if no route does.
+   *
+   * @param service name of the service
+   */
+  public long shortestTargetLatencyMillis(String service) {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(r -> r.splits().stream().anyMatch(s -> s.service().equals(service)))
+        .mapToLong(Route::targetLatencyMillis)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
 }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -51,6 +51,12 @@
    */
   private static final double REMOTE_START_MILLIS = 30;
 
+  /**
+   * The same time if the shares select a data centre: ten times as much, so that differences in
+   * load of a prompt or two do not lead elsewhere, while full or much slower engines do.
+   */
+  private static final double OUTSIDE_SHARE_START_MILLIS = 10 * REMOTE_START_MILLIS;
+
   /** A token waits on average for half of the pass in progress at an engine, then for its own. */
   private static final double PASSES_PER_STEP = 1.5;
 
@@ -70,9 +76,17 @@
    *
    * @param promptTokens number of prompt tokens
    * @param answerTokens expected number of answer tokens
-   * @param dataCentre data centre of this VM, in which the path preferably starts
+   * @param dataCentre data centre in which the path preferably starts: the one that the shares
+   *     select, or that of this VM
+   * @param byShare whether the shares select the data centre
    */
-  public record Requirements(int promptTokens, int answerTokens, String dataCentre) {}
+  public record Requirements(
+      int promptTokens, int answerTokens, String dataCentre, boolean byShare) {
+    /** Creates requirements without a data centre that the shares select. */
+    public Requirements(int promptTokens, int answerTokens, String dataCentre) {
+      this(promptTokens, answerTokens, dataCentre, false);
+    }
+  }
 
   /** An engine with memory for the request, and its expected time per layer for the request. */
   private record Candidate(
@@ -284,10 +298,12 @@
   private Map<String, PartialPath> startingPaths(
       List<Candidate> candidates, Requirements requirements, long now) {
     Map<String, PartialPath> starts = new HashMap<>();
+    double remoteMillis = requirements.byShare() ? OUTSIDE_SHARE_START_MILLIS : REMOTE_START_MILLIS;
     for (Candidate candidate : candidates) {
       String dataCentre = candidate.member().statement().dataCentre();
       boolean local = dataCentre.equals(requirements.dataCentre());
-      double millis = local ? 0 : REMOTE_START_MILLIS + linkHealth.penaltyMillis(dataCentre, now);
+      // The selected data centre may be remote; the link of the own one has no penalty.
+      double millis = (local ? 0 : remoteMillis) + linkHealth.penaltyMillis(dataCentre, now);
       starts.put(dataCentre, new PartialPath(millis, null, null));
     }
     return starts;
--- a/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
+++ b/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
@@ -17,6 +17,12 @@
   /** Cost of a server in another data centre, in calls in progress per slot. */
   private static final double REMOTE_PENALTY = 0.1;
 
+  /**
+   * Cost of a server outside the data centre that the shares select, in calls in progress per slot:
+   * it is used if the servers there are full.
+   */
+  private static final double OUTSIDE_SHARE_PENALTY = 1;
+
   /** Upper limit of the random cost that breaks ties, in calls in progress per slot. */
   private static final double TIE_BREAK_RANGE = 0.05;
 
@@ -45,6 +51,37 @@
    */
   public Optional<Fleet.Member> pick(
       List<Fleet.Member> servers, Set<String> excluded, String dataCentre, long now) {
+    return pick(servers, excluded, dataCentre, REMOTE_PENALTY, now);
+  }
+
+  /**
+   * Picks a server as {@link #pick} does, in the data centre that the shares select for the call.
+   * Servers elsewhere are picked only if those there are full or excluded. If one there is excluded
+   * already, usually because it has refused the call, slots are short there, and the constant
+   * penalty decides.
+   *
+   * @param servers servers that accept new work
+   * @param excluded identities of targets that must not be used
+   * @param selected data centre that the shares select, see {@link
+   *     org.clementinesail.core.locality.LocalityShares}
+   * @param now current time in nanoseconds of this VM's monotonic clock
+   */
+  public Optional<Fleet.Member> pickByShare(
+      List<Fleet.Member> servers, Set<String> excluded, String selected, long now) {
+    boolean refused =
+        servers.stream()
+            .map(Fleet.Member::statement)
+            .anyMatch(s -> s.dataCentre().equals(selected) && excluded.contains(s.id()));
+    double penalty = refused ? REMOTE_PENALTY : OUTSIDE_SHARE_PENALTY;
+    return pick(servers, excluded, selected, penalty, now);
+  }
+
+  private Optional<Fleet.Member> pick(
+      List<Fleet.Member> servers,
+      Set<String> excluded,
+      String dataCentre,
+      double penalty,
+      long now) {
     Fleet.Member best = null;
     double lowestCost = Double.MAX_VALUE;
     for (Fleet.Member server : servers) {
@@ -52,7 +89,7 @@
         continue;
       }
       // 1,000 calls per slot are above any real load: a suspect server is the last choice.
-      double cost = cost(server, dataCentre) + (server.isSuspect(now) ? 1_000 : 0);
+      double cost = cost(server, dataCentre, penalty) + (server.isSuspect(now) ? 1_000 : 0);
       if (cost < lowestCost) {
         lowestCost = cost;
         best = server;
@@ -61,9 +98,9 @@
     return Optional.ofNullable(best);
   }
 
-  private double cost(Fleet.Member server, String dataCentre) {
+  private double cost(Fleet.Member server, String dataCentre, double penalty) {
     int slots = Math.max(1, server.statement().slots());
-    double remote = server.statement().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY;
+    double remote = server.statement().dataCentre().equals(dataCentre) ? 0 : penalty;
     double load = (double) localLoad.requestCount(server.statement().id()) / slots;
     return load + remote + TIE_BREAK_RANGE * random.nextDouble();
   }
