Route by the shares of demand that leave a data centre

Cause: routing knew only a constant penalty for other data centres.

Change: RoutingState draws the data centre of a request from shares that it computes again at most four times a second, after a new summary of the load of all VMs. Without a fresh summary the constant penalties apply as before. Changed shares are logged and are a metric.

--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -317,6 +317,10 @@
   }
 
   private void complete(HttpResponse response) {
+    // Refusals and errors may take no time at all.
+    if (peer == null && model == null && response.status().code() < 400) {
+      context.routing().locality().recordCall(target.service(), System.nanoTime() - sentAt);
+    }
     switch (mode) {
       case REFUSED -> {
         finish();
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Recorder;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
@@ -16,6 +17,7 @@
   private static final int SIGNIFICANT_DIGITS = 2;
 
   private final MetricRegistry registry = new MetricRegistry();
+  private final Map<String, Double> gauges = new ConcurrentSkipListMap<>();
 
   /**
    * Adds 1 to a counter, which is created at its first use.
@@ -30,6 +32,22 @@
     return registry.counter(name);
   }
 
+  /**
+   * Sets a value that may rise and fall.
+   *
+   * @param name metric name with labels
+   * @param value current value
+   */
+  void gauge(String name, double value) {
+    gauges.put(name, value);
+  }
+
+  /** Records the share of this data centre's demand that another one serves, from 0 to 1. */
+  void recordShareSentAway(String service, String from, String to, double share) {
+    String labels = "service=\"" + service + "\",from=\"" + from + "\",to=\"" + to + "\"";
+    gauge("share_sent_away{" + labels + "}", share);
+  }
+
   /**
    * Records a duration, limited to between 1 microsecond and 2 minutes.
    *
@@ -52,6 +70,7 @@
     for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
       out.append(entry.getKey()).append(' ').append(entry.getValue().getCount()).append('\n');
     }
+    gauges.forEach((name, value) -> out.append(name).append(' ').append(value).append('\n'));
     for (Map.Entry<String, Histogram> entry : registry.getHistograms().entrySet()) {
       var snapshot = entry.getValue().getSnapshot();
       appendQuantile(out, entry.getKey(), "0.5", snapshot.getMedian());
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -98,6 +98,32 @@
             startupWait,
             metrics,
             log);
+    routing.locality().listener(this::recordChangedShare);
+  }
+
+  private void recordChangedShare(LocalityState.Change change) {
+    String service = change.figures().service();
+    context.metrics().recordShareSentAway(service, change.from(), change.to(), change.share());
+    context
+        .log()
+        .write(
+            "share of data centre changed",
+            "service",
+            service,
+            "from",
+            change.from(),
+            "to",
+            change.to(),
+            "share",
+            change.share(),
+            "call_ms",
+            change.figures().callSeconds() * TimeUnit.SECONDS.toMillis(1),
+            "waiting",
+            change.figures().waiting(),
+            "figures",
+            change.figures().dataCentres(),
+            "age_ms",
+            TimeUnit.NANOSECONDS.toMillis(change.ageNanos()));
   }
 
   /** Returns what is known of requests, and parts of them, that crash targets. */
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -65,6 +65,7 @@
   private final LinkHealth linkHealth = new LinkHealth();
   private final PathPlanner pathPlanner;
   private final ServerPicker serverPicker;
+  private final LocalityState locality;
   private final RandomGenerator random;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private @Nullable DesiredState desiredState;
@@ -85,6 +86,8 @@
     this.permissions = new SendPermissions(random);
     this.pathPlanner = new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, random);
     this.serverPicker = new ServerPicker(ownLoad, random);
+    this.locality =
+        new LocalityState(settings.dataCentre(), crossDataCentreLoad, linkHealth, random);
   }
 
   /** Returns the current desired state, or empty if none is known yet. */
@@ -131,6 +134,11 @@
     fleetLoad = next;
   }
 
+  /** Returns the shares of demand that leave this VM's data centre. */
+  LocalityState locality() {
+    return locality;
+  }
+
   /** Returns this VM's load on each target. */
   public LocalLoad ownLoad() {
     return ownLoad;
@@ -203,18 +211,35 @@
   /**
    * Returns a path through the engines of a service, or empty if none is available.
    *
-   * @param service name of the service
+   * @param service the service
    * @param model timing and sizes of its engines
    * @param estimate expected tokens of the request
    * @param excluded ids of targets not to use
    * @param now current time in nanoseconds
    */
   private Optional<List<Hop>> planPath(
-      String service, EngineModel model, TokenEstimate estimate, Set<String> excluded, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
+      Service service, EngineModel model, TokenEstimate estimate, Set<String> excluded, long now) {
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> notFirst = withoutPermit(ready, now);
-    int vms = sendingVms > 0 ? sendingVms : trafficVms;
-    return pathPlanner.plan(model, ready, requirements(estimate), excluded, notFirst, vms, now);
+    int vms = vmsThatSend();
+    PathPlanner.Requirements requirements =
+        drawDataCentre(service, estimate.promptTokens(), now)
+            .map(
+                selected ->
+                    new PathPlanner.Requirements(
+                        estimate.promptTokens(), estimate.answerTokens(), selected, true))
+            .orElseGet(() -> requirements(estimate));
+    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
+  }
+
+  private int vmsThatSend() {
+    return sendingVms > 0 ? sendingVms : trafficVms;
+  }
+
+  /** Draws the data centre that serves a request; empty if no shares are known. */
+  private Optional<String> drawDataCentre(Service service, int promptTokens, long now) {
+    return locality.draw(
+        desiredState(), service, fleet, fleetLoad, vmsThatSend(), promptTokens, now);
   }
 
   /**
@@ -263,10 +288,9 @@
       Service service, RequestMetadata metadata, Set<String> excluded, long now) {
     EngineModel model = service.engine();
     if (model == null) {
-      return pickTarget(service.name(), excluded, now)
-          .map(member -> new Destination(member, List.of()));
+      return pickTarget(service, excluded, now).map(member -> new Destination(member, List.of()));
     }
-    return planPath(service.name(), model, TokenEstimate.of(metadata, model), excluded, now)
+    return planPath(service, model, TokenEstimate.of(metadata, model), excluded, now)
         .map(path -> new Destination(fleet.member(path.get(0).id()).orElseThrow(), path));
   }
 
@@ -362,6 +386,9 @@
     List<LocalLoad.Assignment> assignments = new ArrayList<>(path.size());
     long tokens = (long) estimate.promptTokens() + estimate.answerTokens();
     String dataCentre = path.get(0).dataCentre();
+    fleet
+        .member(path.get(0).id())
+        .ifPresent(m -> locality.recordPath(m.statement().service(), path));
     for (Hop hop : path) {
       assignments.add(ownLoad.assign(hop.id(), tokens * hop.layers().size(), now));
       if (!hop.dataCentre().equals(dataCentre)) {
@@ -374,11 +401,14 @@
   }
 
   /** Returns a target of a service without engines, or empty if none is available. */
-  private Optional<Fleet.Member> pickTarget(String service, Set<String> excluded, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
+  private Optional<Fleet.Member> pickTarget(Service service, Set<String> excluded, long now) {
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> avoided = withoutPermit(ready, now);
     avoided.addAll(excluded);
-    return serverPicker.pick(ready, avoided, settings.dataCentre(), now);
+    Optional<String> selected = drawDataCentre(service, 0, now);
+    return selected.isPresent()
+        ? serverPicker.pickByShare(ready, avoided, selected.get(), now)
+        : serverPicker.pick(ready, avoided, settings.dataCentre(), now);
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
