Merge the locality decision

Where the shares select a data centre, its servers are picked in proportion to their free slots; the load-aware weight of remote servers applies where no shares are known.

--- a/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
+++ b/core/src/main/java/org/clementinesail/core/paths/ServerPicker.java
@@ -23,6 +23,12 @@
   /** Cost of a server in another data centre, in calls in progress per slot. */
   private static final double REMOTE_PENALTY = 0.1;
 
+  /**
+   * Cost of a server outside the data centre that the shares select, in calls in progress per slot:
+   * it is used if the servers there are full.
+   */
+  private static final double OUTSIDE_SHARE_PENALTY = 1;
+
   /** Upper limit of the random cost that breaks ties, in calls in progress per slot. */
   private static final double TIE_BREAK_RANGE = 0.05;
 
@@ -74,9 +80,43 @@
   public Optional<Fleet.Member> pick(
       List<Fleet.Member> servers, Set<String> excluded, String dataCentre, long now) {
     FleetLoad load = fleetLoad.get();
+    return load.isFresh(now)
+        ? pickByFreeSlots(load, servers, excluded, dataCentre, false, now)
+        : pick(servers, excluded, dataCentre, REMOTE_PENALTY, now);
+  }
+
+  /**
+   * Picks a server as {@link #pick} does, in the data centre that the shares select for the call.
+   * Servers elsewhere are picked only if those there are full or excluded. If one there is excluded
+   * already, usually because it has refused the call, slots are short there, and the constant
+   * penalty decides.
+   *
+   * @param servers servers that accept new work
+   * @param excluded identities of targets that must not be used
+   * @param selected data centre that the shares select, see {@link
+   *     org.clementinesail.core.locality.LocalityShares}
+   * @param now current time in nanoseconds of this VM's monotonic clock
+   */
+  public Optional<Fleet.Member> pickByShare(
+      List<Fleet.Member> servers, Set<String> excluded, String selected, long now) {
+    boolean refused =
+        servers.stream()
+            .map(Fleet.Member::statement)
+            .anyMatch(s -> s.dataCentre().equals(selected) && excluded.contains(s.id()));
+    FleetLoad load = fleetLoad.get();
     if (load.isFresh(now)) {
-      return pickByFreeSlots(load, servers, excluded, dataCentre, now);
+      return pickByFreeSlots(load, servers, excluded, selected, !refused, now);
     }
+    double penalty = refused ? REMOTE_PENALTY : OUTSIDE_SHARE_PENALTY;
+    return pick(servers, excluded, selected, penalty, now);
+  }
+
+  private Optional<Fleet.Member> pick(
+      List<Fleet.Member> servers,
+      Set<String> excluded,
+      String dataCentre,
+      double penalty,
+      long now) {
     Fleet.Member best = null;
     double lowestCost = Double.MAX_VALUE;
     for (Fleet.Member server : servers) {
@@ -84,7 +124,7 @@
         continue;
       }
       // 1,000 calls per slot are above any real load: a suspect server is the last choice.
-      double cost = cost(server, dataCentre) + (server.isSuspect(now) ? 1_000 : 0);
+      double cost = cost(server, dataCentre, penalty) + (server.isSuspect(now) ? 1_000 : 0);
       if (cost < lowestCost) {
         lowestCost = cost;
         best = server;
@@ -93,17 +133,24 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Picks at random in proportion to the free slots, so that VMs with the same view spread out.
+   *
+   * @param onlyThere whether servers elsewhere are picked only if the data centre has none
+   */
   private Optional<Fleet.Member> pickByFreeSlots(
       FleetLoad load,
       List<Fleet.Member> servers,
       Set<String> excluded,
       String dataCentre,
+      boolean onlyThere,
       long now) {
     List<Fleet.Member> usable =
         servers.stream().filter(server -> !excluded.contains(server.statement().id())).toList();
     List<Fleet.Member> trusted = usable.stream().filter(server -> !server.isSuspect(now)).toList();
     List<Fleet.Member> candidates = trusted.isEmpty() ? usable : trusted;
-    double remoteFactor = remoteFactor(load, candidates, dataCentre);
+    boolean anyThere = candidates.stream().anyMatch(server -> isIn(server, dataCentre));
+    double remoteFactor = onlyThere && anyThere ? 0 : remoteFactor(load, candidates, dataCentre);
     double[] weights = new double[candidates.size()];
     double sum = 0;
     for (int i = 0; i < weights.length; i++) {
@@ -153,8 +200,8 @@
     return server.statement().dataCentre().equals(dataCentre);
   }
 
-  private double cost(Fleet.Member server, String dataCentre) {
-    double remote = isIn(server, dataCentre) ? 0 : REMOTE_PENALTY;
+  private double cost(Fleet.Member server, String dataCentre, double penalty) {
+    double remote = isIn(server, dataCentre) ? 0 : penalty;
     double load = (double) localLoad.requestCount(server.statement().id()) / slots(server);
     return load + remote + TIE_BREAK_RANGE * random.nextDouble();
   }
