--- a/tools/measure-process.py
+++ b/tools/measure-process.py
@@ -72,6 +72,8 @@
 
 async def measure(arguments, record):
     site = deployment.Deployment(record, entries=1, controls=1)
+    for role in site.roles.values():
+        role["run"] = role["run"].replace("java ", f"java {arguments.java_options} ", 1)
     beats = []
     try:
         await site.start_all()
@@ -113,6 +115,7 @@
     parser.add_argument("--warm", type=float, default=10, help="time before it")
     parser.add_argument("--repeat", type=int, default=1)
     parser.add_argument("--root", default=ROOT, help="checkout whose processes are started")
+    parser.add_argument("--java-options", default="", help="added to the commands of both roles")
     arguments = parser.parse_args()
     deployment.ROOT = os.path.abspath(arguments.root)
     with tempfile.TemporaryDirectory() as folder:
