--- a/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
+++ b/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
@@ -171,6 +171,16 @@
     return List.copyOf(services.values());
   }
 
+  /** Returns all routes in no particular order. */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns all workspaces that have a key, in no particular order. */
+  public List<Workspace> workspaces() {
+    return workspacesByKey.values().stream().distinct().toList();
+  }
+
   /** Returns the names of all services. */
   public Set<String> serviceNames() {
     return Set.copyOf(services.keySet());
