Let requests wait for targets in one queue per service, by rank

Cause: waiting requests polled for a target each for itself, and the rank of a request was used nowhere and sent to no target.

Change: AdmissionTicket and AdmissionQueues put waiting requests into the queue of their service. The queue is looked at when a target has ended a request, when a report or changed statement arrives, and every 25 ms. New requests do not overtake waiting ones that are at least as urgent. Request-Urgency goes to targets and Relay-Rank to other VMs. Refusals name the queue length and the expected wait, and Retry-After follows from it. Priorities that are no rank are capped and logged.

--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.clementinesail.core.admission.RequestRank;
 import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
@@ -350,6 +351,7 @@
 
   private void applyStatement(TargetStatement statement, long receivedAt, long now) {
     if (routing.fleet().recordStatement(statement, receivedAt)) {
+      routing.admission().wake();
       log.write(
           "target",
           "target",
@@ -372,6 +374,7 @@
         controlDialect.checkDesired(DocumentCompression.decompress(document));
     if (checked instanceof DesiredState.Valid valid && routing.desiredState(valid.state())) {
       log.write("desired state in force", "version", document.version(), "from", vm);
+      logOddPriorities(valid.state());
     } else if (checked instanceof DesiredState.Invalid invalid) {
       log.write(
           "accepted desired state is invalid",
@@ -381,4 +384,10 @@
           invalid.reason());
     }
   }
+
+  private void logOddPriorities(DesiredState state) {
+    for (var odd : RequestRank.oddPriorities(state.routes(), state.workspaces())) {
+      log.write("priority is no rank from 0 to 9", "field", odd.field(), "value", odd.value());
+    }
+  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -160,6 +160,9 @@
   private void finish() {
     finished = true;
     assignments.forEach(a -> context.routing().ownLoad().release(a, System.nanoTime()));
+    if (head != null && mode != ResponseMode.REFUSED) {
+      context.routing().admission().requestEnded(target.service());
+    }
     context.peers().recordEnd(peer);
     reservation.release();
     if (buffer != null) {
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -86,6 +86,7 @@
 
   private void retryAfterRefusal(Attempt from, boolean otherGoesOn, String reason) {
     counts.recordRefusal();
+    exchange.ticket().takeBack(System.nanoTime());
     if (otherGoesOn) {
       return;
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -37,6 +37,7 @@
   private final ResponseSender sender;
   private final AttemptFailures failures;
   private final TargetChooser chooser;
+  private final AdmissionTicket ticket;
   private final AttemptCounts counts;
   private final StalledAttempt stalled;
   private final Set<String> excludedTargets = new HashSet<>();
@@ -47,7 +48,6 @@
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
   private boolean awaitingState;
-  private long resolvedAt;
   private boolean checkFailed;
   private boolean finished;
 
@@ -67,7 +67,8 @@
     this.counts = new AttemptCounts(context.relayed() ? RelayHeaders.earlierRuns(head) : 0);
     this.stalled = new StalledAttempt(counts);
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
-    this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets);
+    this.ticket = new AdmissionTicket(context, metadata, this::takeTurn, this::giveUp);
+    this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets, ticket);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures =
         new AttemptFailures(this, context, counts, excludedTargets, partGuard, chooser, log);
@@ -90,7 +91,7 @@
 
   private void start(RequestResolver.Resolved resolved) {
     awaitingState = false;
-    resolvedAt = System.nanoTime();
+    long resolvedAt = System.nanoTime();
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -105,6 +106,8 @@
     context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
     context.routing().demand().record(resolved.service().name(), resolvedAt);
     Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
+    int rank = context.relayed() ? RelayHeaders.rank(head, resolved.rank()) : resolved.rank();
+    ticket.open(resolved, rank, resolvedAt, deadline);
     timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
   }
@@ -116,18 +119,26 @@
       return;
     }
     long now = System.nanoTime();
-    var decision = chooser.choose(chosen, progress().started(), resolvedAt, now);
+    var decision = chooser.choose(chosen, progress().started(), now);
     if (decision instanceof TargetChooser.Send send) {
       failures.targetWait().end();
+      ticket.admit(now);
       sendWithinBudget(send.destination(), chosen, false);
     } else if (decision instanceof TargetChooser.GiveUp giveUp) {
       giveUp(giveUp.reason(), giveUp.retryAfterSeconds());
     } else {
-      failures.targetWait().begin(now);
+      if (progress().started()) {
+        failures.targetWait().begin(now);
+      }
       excludedTargets.clear();
     }
   }
 
+  /** Looks for a target because it is the turn of the request among those that wait. */
+  private void takeTurn() {
+    guard(this::tryNextTarget);
+  }
+
   private void sendWithinBudget(
       RoutingState.Destination choice, Service chosen, boolean newConnection) {
     if (!counts.mayHaveArrived()
@@ -140,7 +151,8 @@
 
   private void send(
       RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
-    ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
+    ForwardingInfo info =
+        ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId(), ticket.rank());
     FullHttpRequest request =
         TargetRequest.of(context, choice, head, body.bytes(), info, counts.runningTargets());
     log.sentTo(choice);
@@ -159,7 +171,7 @@
       return;
     } else if (awaitingState) {
       start(now);
-    } else if (failures.targetWait().isOver(now)) {
+    } else if (failures.targetWait().isOver(now) || ticket.isOver(now)) {
       tryNextTarget();
     } else if (current != null) {
       current.checkProgress(now);
@@ -249,6 +261,10 @@
     return failures;
   }
 
+  AdmissionTicket ticket() {
+    return ticket;
+  }
+
   ResponseSender sender() {
     return sender;
   }
@@ -385,6 +401,7 @@
       attempt = null;
     }
     stalled.cancel();
+    ticket.close();
     body.release();
     context.metrics().recordEnd(routeName(), outcome, System.nanoTime() - receivedAt);
     return true;
--- a/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
@@ -13,22 +13,25 @@
  * @param targetId id of the target that the request is meant for
  * @param path engines that the request passes through; empty for a service without engines
  * @param lastEventId event after which the stream is to continue, or null for a new stream
+ * @param rank rank of the request from 0, the most urgent, to 9
  */
 public record ForwardingInfo(
     @Nullable String workspace,
     long timeoutMillis,
     String targetId,
     List<Hop> path,
-    @Nullable String lastEventId) {
+    @Nullable String lastEventId,
+    int rank) {
 
   /** Returns the values for a destination; the deadline is a {@link System#nanoTime}. */
   static ForwardingInfo of(
       RoutingState.Destination destination,
       @Nullable String workspace,
       long deadline,
-      @Nullable String lastEventId) {
+      @Nullable String lastEventId,
+      int rank) {
     long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
     String target = destination.firstTarget().statement().id();
-    return new ForwardingInfo(workspace, millis, target, destination.path(), lastEventId);
+    return new ForwardingInfo(workspace, millis, target, destination.path(), lastEventId, rank);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyMetrics.java
@@ -26,6 +26,16 @@
     counter(name).inc();
   }
 
+  /**
+   * Adds to a metric that goes up and down, which is created at its first use.
+   *
+   * @param name metric name with labels, as {@code admission_waiting{service="chat",rank="0"}}
+   * @param amount amount to add; negative to subtract
+   */
+  void add(String name, int amount) {
+    counter(name).inc(amount);
+  }
+
   private Counter counter(String name) {
     return registry.counter(name);
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -123,6 +123,7 @@
    */
   public void listen(InetSocketAddress address) {
     serverChannels.add(bind(address, context));
+    context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
         PROGRESS_CHECK_INTERVAL_MS,
@@ -232,9 +233,14 @@
     return context.peers().checks().reachability().cutOff().isEmpty();
   }
 
+  private boolean isCutOff(String service) {
+    return context.peers().checks().reachability().isCutOff(service);
+  }
+
   private void checkProgress() {
     long now = System.nanoTime();
     context.peers().tick(now);
+    context.routing().admission().dispatch(now);
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.guardCheck(() -> exchange.checkProgress(now));
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RelayHeaders.java
@@ -16,6 +16,9 @@
   /** On how many targets the request may have run before; sent with a request. */
   private static final String EARLIER_RUNS = "Relay-Earlier-Runs";
 
+  /** Rank of the request that the first VM determined; sent with a request. */
+  private static final String RANK = "Relay-Rank";
+
   /** What became of a request that no target has answered. */
   private static final String OUTCOME = "Relay-Outcome";
 
@@ -27,7 +30,7 @@
 
   private static final String NOT_RUN = "not-run";
   private static final String UNKNOWN = "unknown";
-  private static final List<String> ALL = List.of(EARLIER_RUNS, OUTCOME, TARGET, ALIVE);
+  private static final List<String> ALL = List.of(EARLIER_RUNS, RANK, OUTCOME, TARGET, ALIVE);
 
   private RelayHeaders() {}
 
@@ -45,6 +48,18 @@
     return value.matches("[0-9]{1,3}") ? Integer.parseInt(value) : 0;
   }
 
+  static void setRank(HttpHeaders headers, int rank) {
+    headers.set(RANK, rank);
+  }
+
+  /**
+   * Returns the rank that another VM states, or one computed here if it states none from 0 to 9.
+   */
+  static int rank(HttpRequest request, int computed) {
+    String value = request.headers().get(RANK, "");
+    return value.matches("[0-9]") ? Integer.parseInt(value) : computed;
+  }
+
   static void setOutcome(HttpHeaders headers, boolean notRun) {
     headers.set(OUTCOME, notRun ? NOT_RUN : UNKNOWN);
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/RequestResolver.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RequestResolver.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import org.clementinesail.core.admission.RequestRank;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Service;
@@ -21,8 +22,10 @@
    * @param route route of the request
    * @param service service that the request is sent to
    * @param workspace name of the caller's workspace, or null if the route needs no key
+   * @param rank rank of the request from 0, the most urgent, to 9
    */
-  record Resolved(Route route, Service service, @Nullable String workspace) implements Resolution {}
+  record Resolved(Route route, Service service, @Nullable String workspace, int rank)
+      implements Resolution {}
 
   /**
    * The desired state does not allow the request.
@@ -49,6 +52,7 @@
       return new Denied(HttpResponseStatus.NOT_FOUND, "no route matches the request" + version);
     }
     String workspace = null;
+    int workspacePriority = -1;
     if (desired.keysRequired() && !route.get().keyless()) {
       Optional<Workspace> keyOwner =
           Optional.ofNullable(metadata.apiKey()).flatMap(desired::workspaceByKey);
@@ -56,8 +60,10 @@
         return new Denied(HttpResponseStatus.UNAUTHORIZED, "missing or unknown API key" + version);
       }
       workspace = keyOwner.get().name();
+      workspacePriority = keyOwner.get().priority();
     }
     String service = route.get().pickService(routing.random().nextDouble());
-    return new Resolved(route.get(), desired.service(service).orElseThrow(), workspace);
+    int rank = RequestRank.of(workspacePriority, route.get().priority());
+    return new Resolved(route.get(), desired.service(service).orElseThrow(), workspace, rank);
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -9,7 +9,6 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
@@ -43,9 +42,6 @@
   public record Settings(
       String dataCentre, long leaseNanos, double retryRatio, double retryAllowance) {}
 
-  /** How long a request may wait for a target before it is refused with Retry-After. */
-  static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Longest time over which the callers that are refused at once are spread at their return. */
@@ -71,6 +67,7 @@
   private int trafficVms = 1;
   private int sendingVms;
   private FleetLoad fleetLoad = FleetLoad.NONE;
+  private final AdmissionQueues admission = new AdmissionQueues(this::fleetLoad);
 
   /**
    * Creates a state without a desired state and without targets.
@@ -131,6 +128,11 @@
     fleetLoad = next;
   }
 
+  /** Returns the requests that wait for targets. */
+  public AdmissionQueues admission() {
+    return admission;
+  }
+
   /** Returns this VM's load on each target. */
   public LocalLoad ownLoad() {
     return ownLoad;
@@ -195,6 +197,7 @@
    */
   public void recordReport(EngineReport report, long suspectUntil) {
     fleet.recordReport(report, suspectUntil);
+    admission.wake();
     if (report.reachable()) {
       ownLoad.recordReport(report.id(), report.reportedAt());
     }
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -13,6 +13,7 @@
   private final PartGuard partGuard;
   private final AttemptCounts counts;
   private final Set<String> excludedTargets;
+  private final AdmissionTicket ticket;
 
   /** What happens next with a request. */
   sealed interface Decision {}
@@ -39,18 +40,21 @@
    * @param partGuard tells whether the request would crash targets
    * @param counts counts of the request's attempts
    * @param excludedTargets ids of targets that do not get the request; changed by the caller
+   * @param ticket place of the request among those that wait for targets of its service
    */
   TargetChooser(
       ProxyContext context,
       RequestMetadata metadata,
       PartGuard partGuard,
       AttemptCounts counts,
-      Set<String> excludedTargets) {
+      Set<String> excludedTargets,
+      AdmissionTicket ticket) {
     this.context = context;
     this.metadata = metadata;
     this.partGuard = partGuard;
     this.counts = counts;
     this.excludedTargets = excludedTargets;
+    this.ticket = ticket;
   }
 
   /**
@@ -58,10 +62,9 @@
    *
    * @param service service of the request
    * @param begun whether a part of the response has been sent, so that no refusal is possible
-   * @param resolvedAt when the request began, in nanoseconds of the monotonic clock
-   * @param now current time on the same clock
+   * @param now current time in nanoseconds of the monotonic clock
    */
-  Decision choose(Service service, boolean begun, long resolvedAt, long now) {
+  Decision choose(Service service, boolean begun, long now) {
     OptionalDouble refusedSeconds = partGuard.refusedSeconds(now);
     if (refusedSeconds.isPresent()) {
       String reason = "the request or a part of it crashes targets";
@@ -70,10 +73,16 @@
     if (context.relayed() && context.peers().isCutOff(service)) {
       return new GiveUp("this VM is cut off from the service too", RetryAfter.STOP_SECONDS);
     }
-    Optional<RoutingState.Destination> choice = chooseDestination(service, now);
-    return choice.isPresent()
-        ? new Send(choice.get())
-        : withoutDestination(service, begun, resolvedAt, now);
+    boolean turn = begun || ticket.mayTry(now) || skipsQueue(service, now);
+    Optional<RoutingState.Destination> choice =
+        turn ? chooseDestination(service, now) : Optional.empty();
+    return choice.isPresent() ? new Send(choice.get()) : withoutDestination(service, begun, now);
+  }
+
+  /** Returns whether other VMs get the request, or no target takes it, so that no queue helps. */
+  private boolean skipsQueue(Service service, long now) {
+    return isCutOff(service)
+        || context.routing().deferralSeconds(service, metadata, now).isPresent();
   }
 
   private Optional<RoutingState.Destination> chooseDestination(Service service, long now) {
@@ -125,12 +134,11 @@
             .isPresent();
   }
 
-  private Decision withoutDestination(Service service, boolean begun, long resolvedAt, long now) {
+  private Decision withoutDestination(Service service, boolean begun, long now) {
     OptionalDouble deferral = context.routing().deferralSeconds(service, metadata, now);
     boolean noPeerLeft = isCutOff(service) && !context.peers().isEmpty();
-    boolean mayWait =
-        deferral.isEmpty() && !noPeerLeft && now - resolvedAt < RoutingState.MAX_TARGET_WAIT_NANOS;
-    if (begun || mayWait) {
+    boolean mayWait = deferral.isEmpty() && !noPeerLeft;
+    if (begun || (mayWait && ticket.await(now))) {
       return new Await();
     }
     if (deferral.isPresent()) {
@@ -142,6 +150,6 @@
     }
     String gaps = context.routing().describeGaps(service, metadata, excludedTargets, now);
     String reason = "no target is available" + (gaps.isEmpty() ? "" : ": " + gaps);
-    return new GiveUp(reason, RetryAfter.SECONDS);
+    return new GiveUp(reason + ticket.describe(now), ticket.retryAfterSeconds(now));
   }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
@@ -31,6 +31,7 @@
           .prepareForPeer(headers, forwarding.timeoutMillis(), forwarding.lastEventId());
       RelayHeaders.removeFrom(headers);
       RelayHeaders.setEarlierRuns(headers, earlierRuns);
+      RelayHeaders.setRank(headers, forwarding.rank());
     } else {
       context.dialect().prepareForTarget(headers, forwarding);
       if (context.relayed()) {
