--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -151,6 +151,7 @@
    */
   public void listen(InetSocketAddress address) {
     serverChannels.add(bind(address, context));
+    context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("closing idle connections", this::closeExpired),
         IDLE_CHECK_INTERVAL_MS,
@@ -255,6 +256,10 @@
     return context.peers().checks().reachability().cutOff().isEmpty();
   }
 
+  private boolean isCutOff(String service) {
+    return context.peers().checks().reachability().isCutOff(service);
+  }
+
   /** Checks the progress of requests until none is left, so that an idle process does not wake. */
   private void startProgressChecks() {
     if (progressChecks == null) {
@@ -277,6 +282,7 @@
       progressChecks = null;
       return;
     }
+    context.routing().admission().dispatch(now);
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.guardCheck(() -> exchange.checkProgress(now));
     }
