--- a/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ShortHeaderDialect.java
@@ -43,6 +43,7 @@
     headers.remove("Key");
     headers.set("Timeout-Ms", forwarding.timeoutMillis());
     headers.set("Target", forwarding.targetId());
+    headers.set("Rank", forwarding.rank());
     if (forwarding.workspace() != null) {
       headers.set("Workspace", forwarding.workspace());
     }
