Take an admission back only if no other attempt goes on

Cause: a request that another VM refused counted as admitted in the shares and metrics, and one whose stalled attempt went on counted as refused.

Change: the admission is taken back once no attempt is left, also after the refusal of another VM.

--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -53,6 +53,7 @@
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
     if (from.peer() != null && later.isPresent() && !otherGoesOn) {
+      exchange.ticket().takeBack(System.nanoTime());
       retryLater(from.route(), "another VM refused the request", later.getAsDouble());
     } else {
       retryAfterRefusal(from, otherGoesOn, "targets refused the request");
@@ -86,10 +87,10 @@
 
   private void retryAfterRefusal(Attempt from, boolean otherGoesOn, String reason) {
     counts.recordRefusal();
-    exchange.ticket().takeBack(System.nanoTime());
     if (otherGoesOn) {
       return;
     }
+    exchange.ticket().takeBack(System.nanoTime());
     if (counts.refusalLimitReached()) {
       retryLater(from.route(), reason, RetryAfter.SECONDS);
     } else {
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -67,7 +67,8 @@
     this.counts = new AttemptCounts(context.relayed() ? RelayHeaders.earlierRuns(head) : 0);
     this.stalled = new StalledAttempt(counts);
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
-    this.ticket = new AdmissionTicket(context, metadata, this::takeTurn, this::giveUp);
+    this.ticket =
+        new AdmissionTicket(context, metadata, () -> guard(this::tryNextTarget), this::giveUp);
     this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets, ticket);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures =
@@ -134,11 +135,6 @@
     }
   }
 
-  /** Looks for a target because it is the turn of the request among those that wait. */
-  private void takeTurn() {
-    guard(this::tryNextTarget);
-  }
-
   private void sendWithinBudget(
       RoutingState.Destination choice, Service chosen, boolean newConnection) {
     if (!counts.mayHaveArrived()
--- a/server/src/test/java/org/clementinesail/server/proxy/AdmissionByRankTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/AdmissionByRankTest.java
@@ -3,6 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
@@ -61,6 +64,17 @@
     assertTrue(heads.element().contains("Rank: 1\r\n"), heads.element());
   }
 
+  /** Guards against a rank of another VM that is lost, or an invalid one that is used. */
+  @Test
+  public void rankOfAnotherVmIsUsedIfValid() {
+    var head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+    assertEquals(RelayHeaders.rank(head, 4), 4);
+    RelayHeaders.setRank(head.headers(), 7);
+    assertEquals(RelayHeaders.rank(head, 4), 7);
+    head.headers().set("Relay-Rank", "12");
+    assertEquals(RelayHeaders.rank(head, 4), 4);
+  }
+
   /** Guards against a request that takes a target for which another VM has a more urgent one. */
   @Test
   public void requestIsHeldBackForAnotherVmsUrgentOne() throws Exception {
