Keep the shares of a lost data centre steady and bound them by links

Cause: a data centre without targets got new shares with every summary, and the bandwidth of a link counted only where a call time was known, so never for engines.

Change: the band applies to a lost data centre too. The bandwidth bounds a share by the bytes of the demand instead of by the call time. The simulation is shorter.

--- a/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
@@ -29,6 +29,9 @@
    */
   private static final double RESERVE = 0.5;
 
+  /** Shares below this come from rounding. */
+  private static final double ROUNDING = 1e-6;
+
   private LocalityPlanner() {}
 
   /**
@@ -92,25 +95,25 @@
     }
 
     private Map<String, Double> row(String from) {
-      if (figures.slots(from) <= 0) {
-        return lostRow(from);
-      }
-      Map<String, Double> next = excessRow(from);
+      boolean lost = figures.slots(from) <= 0;
+      Map<String, Double> next = lost ? lostRow(from) : excessRow(from);
       Map<String, Double> current = previous.shares(figures.service(), from);
-      return mayStay(from, current, next) ? current : next;
+      boolean keepsSome = lost && previous.share(figures.service(), from, from) > ROUNDING;
+      return !keepsSome && mayStay(from, current, next) ? current : next;
     }
 
-    /** Returns whether the row in force differs from the new one by less than the band. */
+    /** Returns whether the row in force is possible and within the band of the new one. */
     private boolean mayStay(String from, Map<String, Double> current, Map<String, Double> next) {
-      if (!current.keySet().stream().allMatch(to -> isUsable(from, to) && free(to) > 0)) {
-        return false;
-      }
       if (next.isEmpty() && load(from) < limit(from) * (1 - band)) {
         return false;
       }
       return figures.dataCentres().keySet().stream()
           .allMatch(
-              to -> Math.abs(current.getOrDefault(to, 0.0) - next.getOrDefault(to, 0.0)) <= band);
+              to ->
+                  Math.abs(current.getOrDefault(to, 0.0) - next.getOrDefault(to, 0.0)) <= band
+                      && (!current.containsKey(to)
+                          || next.containsKey(to)
+                          || (next.isEmpty() && isUsable(from, to) && free(to) > 0)));
     }
 
     private Map<String, Double> excessRow(String from) {
@@ -126,7 +129,7 @@
       for (String to : loads.keySet()) {
         if (isUsable(from, to) && free(to) > 0) {
           double moved = excess * free(to) / Math.max(reachable, totalExcess);
-          row.put(to, Math.min(moved, linkLimit(from, to)) / load);
+          row.put(to, Math.min(moved / load, linkShare(from, to)));
         }
       }
       return row;
@@ -172,13 +175,13 @@
       return link.usable() && callMillis + link.delayMillis() <= figures.remainingMillis();
     }
 
-    /** Returns the load that a link has bandwidth for, in requests in progress. */
-    private double linkLimit(String from, String to) {
-      if (figures.bytesPerRequest() <= 0 || figures.callSeconds() <= 0) {
-        return Double.MAX_VALUE;
-      }
-      double perSecond = links.link(from, to).freeBytesPerSecond() / figures.bytesPerRequest();
-      return Math.max(0, perSecond) * figures.callSeconds();
+    /** Returns the share of the demand that a link has bandwidth for. */
+    private double linkShare(String from, String to) {
+      DataCentre sender = figures.dataCentres().get(from);
+      double demandBytes =
+          sender == null ? 0 : sender.demandPerSecond() * figures.bytesPerRequest();
+      double free = Math.max(0, links.link(from, to).freeBytesPerSecond());
+      return demandBytes > 0 ? Math.min(1, free / demandBytes) : 1;
     }
   }
 
--- a/core/src/test/java/org/clementinesail/core/locality/LocalityFleetTest.java
+++ b/core/src/test/java/org/clementinesail/core/locality/LocalityFleetTest.java
@@ -15,10 +15,10 @@
   @DataProvider
   public Object[][] scenarios() {
     return new Object[][] {
-      {"1 : 2 : 2", new Scenario(List.of(1, 2, 2), 0.6, 0.55, 0)},
-      {"20 : 11 : 13", new Scenario(List.of(20, 11, 13), 0.8, 0.55, 0)},
-      {"servers of a data centre gone", new Scenario(List.of(0, 11, 13), 0.8, 0.55, 0)},
-      {"link at a tenth", new Scenario(List.of(11, 20, 13), 0.8, 0.55, 400_000)},
+      {"1 : 2 : 2", new Scenario(List.of(1, 2, 2), 0.6, 0)},
+      {"20 : 11 : 13", new Scenario(List.of(20, 11, 13), 0.8, 0)},
+      {"servers of a data centre gone", new Scenario(List.of(0, 11, 13), 0.8, 0)},
+      {"link at a tenth", new Scenario(List.of(11, 20, 13), 0.8, 400_000)},
     };
   }
 
--- a/core/src/test/java/org/clementinesail/core/locality/SwingSimulation.java
+++ b/core/src/test/java/org/clementinesail/core/locality/SwingSimulation.java
@@ -9,7 +9,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.fleet.TargetStatement.Phase;
@@ -18,37 +17,25 @@
 import org.clementinesail.core.ratelimits.DemandMeter;
 
 /**
- * Simulates many VMs in three data centres whose demand swings in opposite phase, and servers that
- * refuse calls when all their slots are taken. A refused call is sent once more, elsewhere.
+ * Simulates 30 VMs in each of three data centres whose demand swings in opposite phase, and servers
+ * that refuse calls when all their slots are taken. A refused call is sent once more, elsewhere.
  */
 final class SwingSimulation {
-  static final List<String> DATA_CENTRES = List.of("a", "b", "c");
-  static final double CALL_SECONDS = 0.1;
-  static final double LINK_DELAY_SECONDS = 0.015;
+  private static final List<String> NAMES = List.of("a", "b", "c");
+  private static final double CALL_SECONDS = 0.1;
+  private static final double LINK_SECONDS = 0.015;
   private static final double OBJECTIVE_SECONDS = 0.3;
   private static final int SLOTS = 6;
-  private static final int VMS_PER_DATA_CENTRE = 30;
+  private static final int VMS = 30;
   private static final double SUMMARY_SECONDS = 0.25;
   private static final double CALL_BYTES = 20_000;
 
-  /** What is simulated: servers, demand as a part of all capacity, swing and link bandwidth. */
-  record Scenario(
-      List<Integer> servers, double load, double swing, double slowLinkBytesPerSecond) {}
+  /** Servers by data centre, demand as a part of all slots, bandwidth from a to b or 0 for any. */
+  record Scenario(List<Integer> servers, double load, double slowBytesPerSecond) {}
 
   private record Event(double at, Runnable action) {}
 
-  private static final class Vm {
-    final String dataCentre;
-    final LocalLoad load = new LocalLoad();
-    final DemandMeter meter = new DemandMeter();
-    final ServerPicker picker;
-    LocalityShares shares = LocalityShares.NONE;
-
-    Vm(String dataCentre, long seed) {
-      this.dataCentre = dataCentre;
-      this.picker = new ServerPicker(load, new Random(seed));
-    }
-  }
+  private record Vm(int place, LocalLoad load, DemandMeter meter, ServerPicker picker) {}
 
   private final Scenario scenario;
   private final boolean useShares;
@@ -58,67 +45,61 @@
   private final List<Vm> vms = new ArrayList<>();
   private final List<Fleet.Member> servers = new ArrayList<>();
   private final Map<String, Integer> used = new HashMap<>();
-  private final Map<String, Double> linkFreeAt = new HashMap<>();
-  private final Map<String, Double> reported = new HashMap<>();
-  final Map<String, Integer> arrived = new HashMap<>();
-  final Map<String, Integer> inTime = new HashMap<>();
+  private final double[] arrived = new double[3];
+  private final double[] inTime = new double[3];
+  private double[] reported = new double[3];
+  private LocalityShares shares = LocalityShares.NONE;
+  private double slowLinkFreeAt;
+  private double time;
+  private int changes;
   double crossedBytes;
   double excessBytes;
-  int shareChanges;
-  private double time;
 
   SwingSimulation(Scenario scenario, boolean useShares) {
     this.scenario = scenario;
     this.useShares = useShares;
-    for (int i = 0; i < DATA_CENTRES.size(); i++) {
-      String dataCentre = DATA_CENTRES.get(i);
+    for (int i = 0; i < 3; i++) {
       for (int n = 0; n < scenario.servers().get(i); n++) {
-        String id = dataCentre + n;
-        servers.add(
-            new Fleet.Member(
-                new TargetStatement(
-                    id, "s", id + ":1", dataCentre, SLOTS, Phase.READY, "", null, 1, 1),
-                0,
-                null,
-                -1,
-                0));
+        String id = NAMES.get(i) + n;
+        TargetStatement statement =
+            new TargetStatement(id, "s", id, NAMES.get(i), SLOTS, Phase.READY, "", null, 1, 1);
+        servers.add(new Fleet.Member(statement, 0, null, -1, 0));
       }
-      for (int n = 0; n < VMS_PER_DATA_CENTRE; n++) {
-        vms.add(new Vm(dataCentre, 100L * i + n));
+      for (int n = 0; n < VMS; n++) {
+        LocalLoad load = new LocalLoad();
+        ServerPicker picker = new ServerPicker(load, new Random(100L * i + n));
+        vms.add(new Vm(i, load, new DemandMeter(), picker));
       }
     }
   }
 
-  /** Runs the scenario for a number of seconds. */
   SwingSimulation run(double seconds) {
-    for (Vm vm : vms) {
-      scheduleArrival(vm);
-    }
+    vms.forEach(this::scheduleArrival);
     schedule(SUMMARY_SECONDS, this::summarize);
-    for (Event next = events.poll(); next != null && next.at() < seconds; next = events.poll()) {
+    for (Event next = events.remove(); next.at() < seconds; next = events.remove()) {
       time = next.at();
       next.action().run();
     }
     return this;
   }
 
-  double servedShare(String dataCentre) {
-    return (double) inTime.getOrDefault(dataCentre, 0) / arrived.getOrDefault(dataCentre, 1);
+  double served(int place) {
+    return inTime[place] / arrived[place];
   }
 
   double worst() {
-    return DATA_CENTRES.stream().mapToDouble(this::servedShare).min().orElseThrow();
+    return Math.min(served(0), Math.min(served(1), served(2)));
   }
 
   double best() {
-    return DATA_CENTRES.stream().mapToDouble(this::servedShare).max().orElseThrow();
+    return Math.max(served(0), Math.max(served(1), served(2)));
   }
 
   @Override
   public String toString() {
     return String.format(
         "a %.3f b %.3f c %.3f in time, %.0f MB crossed, %d changes",
-        servedShare("a"), servedShare("b"), servedShare("c"), crossedBytes / 1e6, shareChanges);
+        served(0), served(1), served(2), crossedBytes / 1e6, changes);
   }
 
   private void schedule(double delay, Runnable action) {
@@ -126,130 +107,105 @@
   }
 
   private long nanos() {
-    return TimeUnit.SECONDS.toNanos(1) + (long) (time * 1e9);
+    return (long) ((1 + time) * 1e9);
   }
 
-  private double rate(Vm vm) {
-    double capacity = servers.size() * SLOTS / CALL_SECONDS;
-    double phase = DATA_CENTRES.indexOf(vm.dataCentre) / (double) DATA_CENTRES.size();
-    double swing = 1 + scenario.swing() * Math.sin(2 * Math.PI * (time / 15 + phase));
-    return capacity * scenario.load() / vms.size() * swing;
+  /** Returns the demand of a data centre in calls per second, with a swing of 0.55 in 15 s. */
+  private double demand(int place) {
+    double swing = 1 + 0.55 * Math.sin(2 * Math.PI * (time / 15 + place / 3.0));
+    return servers.size() * SLOTS / CALL_SECONDS * scenario.load() / 3 * swing;
   }
 
   private void scheduleArrival(Vm vm) {
     schedule(
-        -Math.log(1 - random.nextDouble()) / rate(vm),
+        -Math.log(1 - random.nextDouble()) / demand(vm.place()) * VMS,
         () -> {
-          arrived.merge(vm.dataCentre, 1, Integer::sum);
-          vm.meter.record("s", nanos());
+          arrived[vm.place()]++;
+          vm.meter().record("s", nanos());
           send(vm, time, new HashSet<>());
           scheduleArrival(vm);
         });
   }
 
   private void send(Vm vm, double arrivedAt, Set<String> excluded) {
-    Optional<String> selected = vm.shares.draw("s", vm.dataCentre, 0, 0, random.nextDouble());
+    String home = NAMES.get(vm.place());
+    Optional<String> selected = shares.draw("s", home, 0, 0, random.nextDouble());
     Optional<Fleet.Member> server =
         selected.isPresent()
-            ? vm.picker.pickByShare(servers, excluded, selected.get(), nanos())
-            : vm.picker.pick(servers, excluded, vm.dataCentre, nanos());
+            ? vm.picker().pickByShare(servers, excluded, selected.get(), nanos())
+            : vm.picker().pick(servers, excluded, home, nanos());
     if (server.isEmpty() || excluded.size() > 1) {
       return;
     }
-    TargetStatement target = server.get().statement();
-    LocalLoad.Assignment assignment = vm.load.assign(target.id(), 0, nanos());
-    double delay = linkDelay(vm.dataCentre, target.dataCentre());
-    schedule(delay, () -> arrive(vm, target, assignment, arrivedAt, excluded));
-  }
-
-  private void arrive(
-      Vm vm,
-      TargetStatement target,
-      LocalLoad.Assignment assignment,
-      double arrivedAt,
-      Set<String> excluded) {
-    double back = vm.dataCentre.equals(target.dataCentre()) ? 0 : LINK_DELAY_SECONDS;
-    if (used.getOrDefault(target.id(), 0) >= SLOTS) {
-      schedule(
-          back,
-          () -> {
-            vm.load.release(assignment, nanos());
-            excluded.add(target.id());
-            send(vm, arrivedAt, excluded);
-          });
-      return;
-    }
-    used.merge(target.id(), 1, Integer::sum);
-    schedule(CALL_SECONDS, () -> used.merge(target.id(), -1, Integer::sum));
+    String id = server.get().statement().id();
+    String to = server.get().statement().dataCentre();
+    LocalLoad.Assignment assignment = vm.load().assign(id, 0, nanos());
+    double back = to.equals(home) ? 0 : LINK_SECONDS;
     schedule(
-        CALL_SECONDS + back,
+        linkSeconds(home, to),
         () -> {
-          vm.load.release(assignment, nanos());
-          if (time - arrivedAt <= OBJECTIVE_SECONDS) {
-            inTime.merge(vm.dataCentre, 1, Integer::sum);
+          boolean full = used.getOrDefault(id, 0) >= SLOTS;
+          if (!full) {
+            used.merge(id, 1, Integer::sum);
+            schedule(CALL_SECONDS, () -> used.merge(id, -1, Integer::sum));
           }
+          schedule(
+              (full ? 0 : CALL_SECONDS) + back,
+              () -> {
+                vm.load().release(assignment, nanos());
+                if (full) {
+                  excluded.add(id);
+                  send(vm, arrivedAt, excluded);
+                } else if (time - arrivedAt <= OBJECTIVE_SECONDS) {
+                  inTime[vm.place()]++;
+                }
+              });
         });
   }
 
-  private double linkDelay(String from, String to) {
+  private double linkSeconds(String from, String to) {
     if (from.equals(to)) {
       return 0;
     }
     crossedBytes += CALL_BYTES;
     if (!isSlow(from, to)) {
-      return LINK_DELAY_SECONDS;
+      return LINK_SECONDS;
     }
-    double begin = Math.max(time, linkFreeAt.getOrDefault(from + to, 0.0));
-    double end = begin + CALL_BYTES / scenario.slowLinkBytesPerSecond();
-    linkFreeAt.put(from + to, end);
-    return end - time + LINK_DELAY_SECONDS;
+    slowLinkFreeAt = Math.max(time, slowLinkFreeAt) + CALL_BYTES / scenario.slowBytesPerSecond();
+    return slowLinkFreeAt - time + LINK_SECONDS;
   }
 
   private boolean isSlow(String from, String to) {
-    return scenario.slowLinkBytesPerSecond() > 0 && from.equals("a") && to.equals("b");
+    return scenario.slowBytesPerSecond() > 0 && from.equals("a") && to.equals("b");
   }
 
-  /** Sums up the reports that the VMs sent one interval ago, and delivers the sum to all VMs. */
+  /** Plans by the reports of one interval ago, and takes the next reports. */
   private void summarize() {
-    Map<String, Double> summary = Map.copyOf(reported);
-    reported.clear();
-    for (int i = 0; i < DATA_CENTRES.size(); i++) {
-      double demand = rate(vms.get(i * VMS_PER_DATA_CENTRE)) * VMS_PER_DATA_CENTRE;
-      double excess = Math.max(0, demand - scenario.servers().get(i) * SLOTS / CALL_SECONDS);
+    Map<String, ServiceFigures.DataCentre> figures = new HashMap<>();
+    for (int i = 0; i < 3; i++) {
+      int slots = scenario.servers().get(i) * SLOTS;
+      figures.put(NAMES.get(i), new ServiceFigures.DataCentre(reported[i], slots, 0));
+      double excess = Math.max(0, demand(i) - slots / CALL_SECONDS);
       excessBytes += excess * SUMMARY_SECONDS * CALL_BYTES;
     }
-    for (Vm vm : vms) {
-      reported.merge(vm.dataCentre, vm.meter.perSecond("s", nanos()), Double::sum);
-    }
-    if (useShares && !summary.isEmpty()) {
-      apply(summary);
+    reported = new double[3];
+    vms.forEach(vm -> reported[vm.place()] += vm.meter().perSecond("s", nanos()));
+    if (useShares) {
+      plan(new ServiceFigures("s", CALL_SECONDS, 0, 300, CALL_BYTES, figures));
     }
     schedule(SUMMARY_SECONDS, this::summarize);
   }
 
-  private void apply(Map<String, Double> demand) {
-    Map<String, ServiceFigures.DataCentre> figures = new HashMap<>();
-    for (int i = 0; i < DATA_CENTRES.size(); i++) {
-      String name = DATA_CENTRES.get(i);
-      figures.put(
-          name,
-          new ServiceFigures.DataCentre(
-              demand.getOrDefault(name, 0.0), scenario.servers().get(i) * SLOTS, 0));
-    }
-    ServiceFigures service =
-        new ServiceFigures("s", CALL_SECONDS, 0, OBJECTIVE_SECONDS * 1_000, CALL_BYTES, figures);
+  private void plan(ServiceFigures figures) {
     Links links =
         (from, to) ->
             new Links.Link(
-                true,
-                2 * LINK_DELAY_SECONDS * 1_000,
-                isSlow(from, to) ? scenario.slowLinkBytesPerSecond() : Double.MAX_VALUE);
-    LocalityShares before = vms.get(0).shares;
+                true, 30, isSlow(from, to) ? scenario.slowBytesPerSecond() : Double.MAX_VALUE);
+    LocalityShares before = shares;
     long age = (long) (SUMMARY_SECONDS * 1e9);
-    LocalityShares next = LocalityPlanner.plan(List.of(service), links, before, age);
-    for (String from : DATA_CENTRES) {
-      shareChanges += next.shares("s", from).equals(before.shares("s", from)) ? 0 : 1;
+    shares = LocalityPlanner.plan(List.of(figures), links, before, age);
+    for (String from : NAMES) {
+      changes += shares.shares("s", from).equals(before.shares("s", from)) ? 0 : 1;
     }
-    vms.forEach(vm -> vm.shares = next);
   }
 }
