Use the best path within the selected data centre

Cause: the fixed cost of 300 ms for starting elsewhere is below the random factor of a path's expected time, so that paths left the selected data centre at random.

Change: PathPlanner uses the best path within the selected data centre unless there is none or the best of all takes less than half as long.

--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -52,10 +52,11 @@
   private static final double REMOTE_START_MILLIS = 30;
 
   /**
-   * The same time if the shares select a data centre: ten times as much, so that differences in
-   * load of a prompt or two do not lead elsewhere, while full or much slower engines do.
+   * A path within the data centre that the shares select is used unless it takes this many times as
+   * long as the best one. Random factors and small differences in load stay below; a much slower or
+   * overloaded data centre does not.
    */
-  private static final double OUTSIDE_SHARE_START_MILLIS = 10 * REMOTE_START_MILLIS;
+  private static final double MAX_SELECTED_FACTOR = 2;
 
   /** A token waits on average for half of the pass in progress at an engine, then for its own. */
   private static final double PASSES_PER_STEP = 1.5;
@@ -175,12 +176,20 @@
     }
     double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
-    return cheapestPath(
-        model,
-        candidates,
-        starts,
-        requirements,
-        remoteHopMillis(model, requirements, linkUtilization));
+    double hopMillis = remoteHopMillis(model, requirements, linkUtilization);
+    Optional<PartialPath> best = cheapestPath(model, candidates, starts, requirements, hopMillis);
+    if (!requirements.byShare() || best.isEmpty()) {
+      return best.map(PathPlanner::hops);
+    }
+    List<Candidate> selected =
+        candidates.stream()
+            .filter(c -> c.member().statement().dataCentre().equals(requirements.dataCentre()))
+            .toList();
+    double limit = best.get().millis() * MAX_SELECTED_FACTOR;
+    return cheapestPath(model, selected, starts, requirements, hopMillis)
+        .filter(path -> path.millis() <= limit)
+        .or(() -> best)
+        .map(PathPlanner::hops);
   }
 
   /**
@@ -259,7 +268,7 @@
             engine, layers, totalMillis * slowdown * randomFactor / model.layers(), mayBeFirst));
   }
 
-  private Optional<List<Hop>> cheapestPath(
+  private Optional<PartialPath> cheapestPath(
       EngineModel model,
       List<Candidate> candidates,
       Map<String, PartialPath> starts,
@@ -287,8 +296,7 @@
     Map<String, PartialPath> ends = best.getOrDefault(model.layers(), Map.of());
     return ends.values().stream()
         .min((a, b) -> Double.compare(a.millis(), b.millis()))
-        .map(PathPlanner::hops)
-        .filter(PathPlanner::hasDistinctTargets);
+        .filter(path -> hasDistinctTargets(hops(path)));
   }
 
   /**
@@ -298,12 +306,11 @@
   private Map<String, PartialPath> startingPaths(
       List<Candidate> candidates, Requirements requirements, long now) {
     Map<String, PartialPath> starts = new HashMap<>();
-    double remoteMillis = requirements.byShare() ? OUTSIDE_SHARE_START_MILLIS : REMOTE_START_MILLIS;
     for (Candidate candidate : candidates) {
       String dataCentre = candidate.member().statement().dataCentre();
       boolean local = dataCentre.equals(requirements.dataCentre());
       // The selected data centre may be remote; the link of the own one has no penalty.
-      double millis = (local ? 0 : remoteMillis) + linkHealth.penaltyMillis(dataCentre, now);
+      double millis = (local ? 0 : REMOTE_START_MILLIS) + linkHealth.penaltyMillis(dataCentre, now);
       starts.put(dataCentre, new PartialPath(millis, null, null));
     }
     return starts;
