--- a/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
@@ -27,7 +27,7 @@
    * Slots kept free for random arrivals, in square roots of the slots. The number of requests in
    * progress varies by about the square root of its mean, so many slots can be used more fully.
    */
-  private static final double RESERVE = 0.5;
+  static final double RESERVE = 0.5;
 
   /** Shares below this come from rounding. */
   private static final double ROUNDING = 1e-6;
