--- a/wire/src/test/java/org/clementinesail/wire/LoadCodecTest.java
+++ b/wire/src/test/java/org/clementinesail/wire/LoadCodecTest.java
@@ -96,7 +96,8 @@
           LoadCodec.encode(new LoadSummary(1_000, vms, counts(ENGINES + SERVERS, 40, 300, 3)))
                   .getSerializedSize()
               + 4;
-      Reporter.log(vms + " VMs: report " + reportBytes + " bytes, summary " + summaryBytes + " bytes", true);
+      Reporter.log(
+          vms + " VMs: report " + reportBytes + " bytes, summary " + summaryBytes + " bytes", true);
       assertTrue(reportBytes <= 1_000, "report of " + reportBytes + " bytes");
       assertTrue(summaryBytes <= 1_000, "summary of " + summaryBytes + " bytes");
     }
