--- a/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
+++ b/core/src/main/java/org/clementinesail/core/paths/EngineMemory.java
@@ -23,7 +23,6 @@
 
   private final EngineModel model;
   private final LocalLoad localLoad;
-  private final int vms;
   private final SentLoad sentLoad;
   private final long now;
 
@@ -52,14 +51,12 @@
    *
    * @param model properties of the engines
    * @param localLoad requests of this VM at each engine
-   * @param vms number of VMs that send requests to the engines
    * @param sentLoad requests of all VMs at each engine
    * @param now current time in nanoseconds of this VM's monotonic clock
    */
-  EngineMemory(EngineModel model, LocalLoad localLoad, int vms, SentLoad sentLoad, long now) {
+  EngineMemory(EngineModel model, LocalLoad localLoad, SentLoad sentLoad, long now) {
     this.model = model;
     this.localLoad = localLoad;
-    this.vms = vms;
     this.sentLoad = sentLoad;
     this.now = now;
   }
@@ -68,7 +65,9 @@
   Use cautious(Fleet.Member engine, LayerRange layers, int tokens) {
     double own = localLoad.unreportedKvTokenLayers(engine.statement().id());
     double change =
-        sentLoad.isKnown() ? own + Math.max(0, othersChange(engine, layers, tokens)) : own * vms;
+        sentLoad.isKnown()
+            ? own + Math.max(0, othersChange(engine, layers, tokens))
+            : own * sentLoad.vms();
     return use(engine, layers, tokens, change);
   }
 
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -25,9 +25,8 @@
  * Plans the engines that a request passes through: the path over layer boundaries with the least
  * expected time, among engines with enough memory for the request.
  *
- * <p>Several VMs may send steady or bursty load at the same time, and all see the same engine
- * reports. What the others have sent since a report follows from the load of all VMs; if that is
- * not known, the requests that this VM has sent since the report are multiplied by the number of
+ * <p>All VMs see the same engine reports. What the others have sent since follows from the load of
+ * all VMs; if that is not known, the requests that this VM has sent are multiplied by the number of
  * VMs. A small random factor keeps the VMs from all choosing the same engine. Only if no path has
  * memory by that estimate, the steady one decides, so that no request is refused for load that may
  * not exist.
@@ -150,7 +149,7 @@
       int vms,
       long now) {
     SentLoad sent = new SentLoad(localLoad, fleetLoad.get(), vms, now);
-    EngineMemory memory = new EngineMemory(model, localLoad, vms, sent, now);
+    EngineMemory memory = new EngineMemory(model, localLoad, sent, now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
     BiPredicate<Fleet.Member, LayerRange> cautious =
         (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
@@ -159,14 +158,13 @@
             .filter(engine -> !excluded.contains(engine.statement().id()))
             .filter(engine -> !engine.isSuspect(now))
             .toList();
-    Optional<List<Hop>> path =
-        plan(model, usable, cautious, requirements, notFirst, sent, vms, now);
+    Optional<List<Hop>> path = plan(model, usable, cautious, requirements, notFirst, sent, now);
     if (path.isPresent()) {
       return path;
     }
     BiPredicate<Fleet.Member, LayerRange> steady =
         (engine, layers) -> memory.steady(engine, layers, tokens).fits();
-    return plan(model, usable, steady, requirements, notFirst, sent, vms, now);
+    return plan(model, usable, steady, requirements, notFirst, sent, now);
   }
 
   private Optional<List<Hop>> plan(
@@ -176,7 +174,6 @@
       Requirements requirements,
       Set<String> notFirst,
       SentLoad sent,
-      int vms,
       long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (Fleet.Member engine : engines) {
@@ -184,7 +181,7 @@
       candidate(model, engine, admission, requirements, first, sent, now)
           .ifPresent(candidates::add);
     }
-    double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
+    double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), sent.vms(), now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
     return cheapestPath(
         model,
@@ -215,8 +212,7 @@
       Set<String> notFirst,
       long now) {
     EngineMemory memory =
-        new EngineMemory(
-            model, localLoad, 1, new SentLoad(localLoad, fleetLoad.get(), 1, now), now);
+        new EngineMemory(model, localLoad, new SentLoad(localLoad, fleetLoad.get(), 1, now), now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
     PathGaps gaps = new PathGaps(model.layers(), now, ready, excluded, notFirst);
     for (Fleet.Member member : known) {
--- a/core/src/main/java/org/clementinesail/core/paths/SentLoad.java
+++ b/core/src/main/java/org/clementinesail/core/paths/SentLoad.java
@@ -35,6 +35,11 @@
     this.known = fleetLoad.isFresh(now);
   }
 
+  /** Returns the number of VMs that send requests to the engines. */
+  int vms() {
+    return vms;
+  }
+
   /** Returns whether the load of all VMs is known. */
   boolean isKnown() {
     return known;
