Bound memory and connections of callers by the stated machine

Cause: the first 16 KiB of bodies, heads, pipelined requests and unread responses were not counted, and callers could take every descriptor.

Change: ClientLimits derives budgets from limits.memory_mb, max_fds and the heap, with settings for each. BufferLimit counts every byte, keeps a reserve for small requests and ends the largest holder without a running request when it is used up. ConnectionLimit closes the oldest connection without a request. Bodies have a minimum rate; a connection whose responses are not read starts no next request and ends after the idle timeout. BufferLimitTest now asserts that the first 16 KiB count, which it asserted they do not.

--- a/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import org.clementinesail.core.limits.ClientLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,6 +27,7 @@
  * @param retryRatio limit on retries per request to a service; an entry VM uses at most half of it
  * @param retryAllowance limit on retries to a service beyond the ratio, for all VMs together; entry
  *     VMs use at most half of it
+ * @param clientLimits what all clients of the process together may hold
  * @param peerSecret secret shared by all VMs
  */
 public record NodeSettings(
@@ -43,6 +45,7 @@
     long graceMillis,
     double retryRatio,
     double retryAllowance,
+    ClientLimits clientLimits,
     String peerSecret) {
 
   /** Makes an unmodifiable copy of the seeds. */
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -29,8 +29,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.clementinesail.core.desired.DesiredState;
-import org.clementinesail.core.desired.RequestLimits;
 import org.jspecify.annotations.Nullable;
 
 /** A connection of a caller; processes its requests one at a time, in order. */
@@ -55,14 +53,51 @@
   private @Nullable Refusal refusal;
   private int unsentWrites;
   private final IdleTime idleTime;
+  private final ConnectionMemory memory;
+
+  /** When a part of a response was last written completely, or the first unwritten one began. */
+  private long writtenAt = System.nanoTime();
 
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
-    this.body = new RequestBody(context.buffers());
+    this.body = newBody();
+    this.memory =
+        new ConnectionMemory(context.buffers(), new UnreadOrUnfinished(), this::refuseForMemory);
     this.idleTime = new IdleTime(context::idleTimeoutMillis);
   }
 
+  /** Returns the handler that must stand before the decoder. */
+  ConnectionMemory memory() {
+    return memory;
+  }
+
+  private RequestBody newBody() {
+    return new RequestBody(context.buffers(), () -> refuseBody(Refusal.ofRequestWithoutMemory()));
+  }
+
+  /** Ends the connection for what it holds outside of requests. */
+  private final class UnreadOrUnfinished implements BufferLimit.Holder {
+    @Override
+    public boolean mayBeEnded() {
+      return exchange == null || !isWritable();
+    }
+
+    @Override
+    public void end() {
+      memory.release();
+      close();
+    }
+  }
+
+  private void refuseForMemory() {
+    if (unsentWrites > 0) {
+      close();
+    } else if (refusal == null) {
+      refuseAndClose(Refusal.ofRequestWithoutMemory());
+    }
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     channel = handlerContext.channel();
@@ -71,6 +106,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+    memory.decoded();
     try {
       if (lastResponseSent || refusal != null) {
         return;
@@ -82,7 +118,7 @@
       if (message instanceof HttpRequest request) {
         begin(handlerContext, request);
       }
-      if (message instanceof HttpContent content) {
+      if (message instanceof HttpContent content && refusal == null) {
         appendBody(content);
       }
     } finally {
@@ -92,6 +128,10 @@
 
   private void begin(ChannelHandlerContext handlerContext, HttpRequest request) {
     head = request;
+    if (!body.begin(HeadSize.of(request))) {
+      refuseBody(Refusal.ofRequestWithoutMemory());
+      return;
+    }
     if (HttpUtil.is100ContinueExpected(request)) {
       handlerContext.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -104,11 +144,11 @@
       return;
     }
     idleTime.begin();
-    RequestBody.Result result = body.add(content.content(), limits().maxBodyBytes());
+    RequestBody.Result result = body.add(content.content(), context.requestLimits().maxBodyBytes());
     if (result == RequestBody.Result.TOO_LONG) {
       refuseBody(Refusal.ofTooLargeBody());
     } else if (result == RequestBody.Result.NO_MEMORY) {
-      refuseBody(Refusal.ofBodyWithoutMemory());
+      refuseBody(Refusal.ofRequestWithoutMemory());
     } else if (content instanceof LastHttpContent) {
       addRequest(request);
     }
@@ -121,12 +161,16 @@
 
   private void addRequest(HttpRequest request) {
     head = null;
+    body.complete();
+    if (channel != null) {
+      ConnectionLimit.requestReceived(channel);
+    }
     if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
       refuseBody(Refusal.ofTooManyRequests());
       return;
     }
     waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
-    body = new RequestBody(context.buffers());
+    body = newBody();
     startNextRequest();
   }
 
@@ -138,6 +182,9 @@
       sendRefusal();
       return;
     }
+    if (!isWritable()) {
+      return; // The caller does not read the responses so far.
+    }
     ReceivedRequest received = waiting.removeFirst();
     closeAfterResponse = !HttpUtil.isKeepAlive(received.head());
     Exchange started;
@@ -178,10 +225,6 @@
     sendResponse(due.status(), due.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
-  private RequestLimits limits() {
-    return context.routing().desiredState().map(DesiredState::limits).orElse(RequestLimits.DEFAULT);
-  }
-
   /** Sends a complete response and ends the exchange. */
   void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
     Channel open = channel;
@@ -206,6 +249,7 @@
       written.addListener(refusal == null ? ChannelFutureListener.CLOSE : new LingeringClose());
     }
     open.flush();
+    memory.update(open);
     exchangeFinished();
   }
 
@@ -239,6 +283,7 @@
   void flush() {
     if (channel != null) {
       channel.flush();
+      memory.update(channel);
     }
   }
 
@@ -269,13 +314,17 @@
   }
 
   private ChannelFuture write(Channel open, Object message) {
-    unsentWrites++;
+    writtenAt = unsentWrites++ == 0 ? System.nanoTime() : writtenAt;
     return open.write(message).addListener(this::onWritten);
   }
 
   /** A response that cannot be written has no other end than that of the connection. */
   private void onWritten(Future<? super Void> written) {
     unsentWrites--;
+    writtenAt = System.nanoTime();
+    if (channel != null) {
+      memory.update(channel);
+    }
     if (exchange == null) {
       idleTime.begin();
     }
@@ -352,8 +401,15 @@
 
   /** Ends a connection after the idle timeout that its caller knew when it became idle. */
   void closeIfExpired(long now) {
-    if (idleTime.isOver(now) && head != null && refusal == null) {
+    long idleMillis = context.idleTimeoutMillis();
+    if (head != null && refusal == null && body.isLate(now, server.clientLimits(), idleMillis)) {
+      server.limitReached("body_rate");
       refuseBody(Refusal.ofStalledBody());
+    } else if (idleTime.isOver(now) && head != null && refusal == null) {
+      refuseBody(Refusal.ofStalledBody());
+    } else if (unsentWrites > 0 && now - writtenAt > idleTime.limitNanos()) {
+      server.limitReached("unread_response");
+      close();
     } else if (idleTime.isOver(now)) {
       closeIfIdle(now, idleTime.limitNanos());
     }
@@ -370,6 +426,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
     if (exchange != null) {
       exchange.onCallerWritabilityChanged(handlerContext.channel().isWritable());
+    } else if (!waiting.isEmpty()) {
+      context.loop().execute(this::startNextRequest);
     }
   }
 
@@ -378,6 +436,7 @@
     server.connectionClosed(this);
     lastResponseSent = true;
     body.release();
+    memory.release();
     waiting.forEach(received -> received.body().release());
     waiting.clear();
     Exchange open = exchange;
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyContext.java
@@ -45,11 +45,12 @@
   long idleTimeoutMillis() {
     return relayed
         ? RequestLimits.DEFAULT.idleTimeoutMillis()
-        : routing
-            .desiredState()
-            .map(DesiredState::limits)
-            .orElse(RequestLimits.DEFAULT)
-            .idleTimeoutMillis();
+        : requestLimits().idleTimeoutMillis();
+  }
+
+  /** Returns the limits of requests that are in force. */
+  RequestLimits requestLimits() {
+    return routing.desiredState().map(DesiredState::limits).orElse(RequestLimits.DEFAULT);
   }
 
   /** Returns the same objects for requests that other VMs send. */
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.reachability.PeerPicker;
@@ -52,6 +53,8 @@
 
   private final EventLoop loop;
   private final ProxyContext context;
+  private final ClientLimits clientLimits;
+  private final LimitReports reports;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
@@ -76,6 +79,40 @@
       StartupWait startupWait,
       ProxyMetrics metrics,
       DecisionLog log) {
+    this(
+        loop,
+        dialect,
+        engineDialect,
+        routing,
+        startupWait,
+        ClientLimits.ofMachine(Runtime.getRuntime().maxMemory(), 0, 0),
+        metrics,
+        log);
+  }
+
+  /**
+   * Creates a server with other limits than those of the heap; {@link #listen} starts it.
+   *
+   * @param loop event loop that all work is done on
+   * @param dialect header names of callers and targets
+   * @param engineDialect format of reports from engines
+   * @param routing desired state, fleet and load
+   * @param startupWait how long requests wait for the first desired state
+   * @param clientLimits what all callers together may hold
+   * @param metrics receives the counters and latencies of requests
+   * @param log receives refusals, failures and retries
+   */
+  public ProxyServer(
+      EventLoop loop,
+      Dialect dialect,
+      EngineDialect engineDialect,
+      RoutingState routing,
+      StartupWait startupWait,
+      ClientLimits clientLimits,
+      ProxyMetrics metrics,
+      DecisionLog log) {
+    this.clientLimits = clientLimits;
+    this.reports = new LimitReports(metrics, log);
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
@@ -94,7 +131,8 @@
             new RateLimitReports(loop, routing, checks, log),
             new PeerRelay(peers, checks, new PeerWatch(loop, peers, log)),
             false,
-            new BufferLimit(),
+            new BufferLimit(
+                clientLimits.memoryBytes(), (held, max) -> reports.record("memory", held, max)),
             startupWait,
             metrics,
             log);
@@ -122,7 +160,8 @@
    * @param address address and port to listen on
    */
   public void listen(InetSocketAddress address) {
-    serverChannels.add(bind(address, context));
+    ConnectionLimit limit = new ConnectionLimit("connections", clientLimits.connections(), reports);
+    serverChannels.add(bind(address, context, limit));
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
         PROGRESS_CHECK_INTERVAL_MS,
@@ -142,10 +181,13 @@
    * @param address address and port to listen on
    */
   public void listenForPeers(InetSocketAddress address) {
-    serverChannels.add(bind(address, context.forRelayedRequests()));
+    ConnectionLimit limit =
+        new ConnectionLimit("relay_connections", clientLimits.relayConnections(), reports);
+    serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
-  private Channel bind(InetSocketAddress address, ProxyContext requestContext) {
+  private Channel bind(
+      InetSocketAddress address, ProxyContext requestContext, ConnectionLimit limit) {
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -157,6 +199,9 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                if (!limit.admit(channel)) {
+                  return;
+                }
                 int added = requestContext.relayed() ? MAX_ADDED_HEADER_BYTES : 0;
                 int head = RequestLimits.DEFAULT.maxHeaderBytes() + added;
                 HttpDecoderConfig config =
@@ -164,12 +209,15 @@
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setMaxHeaderSize(head)
                         .setValidateHeaders(false);
+                CallerConnection connection =
+                    new CallerConnection(requestContext, ProxyServer.this);
+                channel.pipeline().addLast(connection.memory());
                 channel.pipeline().addLast(new HttpServerCodec(config));
                 channel.pipeline().addLast(new RequestHeadCheck());
                 if (requestContext.relayed()) {
                   channel.pipeline().addLast(new SignOfLife(ProxyServer.this::reachesTargets));
                 }
-                channel.pipeline().addLast(new CallerConnection(requestContext, ProxyServer.this));
+                channel.pipeline().addLast(connection);
               }
             })
         .bind(address)
@@ -245,6 +293,15 @@
     List.copyOf(connections).forEach(c -> c.closeIfExpired(now));
   }
 
+  ClientLimits clientLimits() {
+    return clientLimits;
+  }
+
+  /** Records that a connection is ended for a limit of its own. */
+  void limitReached(String kind) {
+    reports.record(kind, connections.size(), clientLimits.connections());
+  }
+
   boolean draining() {
     return plannedStop != null;
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
@@ -24,9 +24,9 @@
     return new Refusal(status, String.valueOf(cause.getMessage()));
   }
 
-  /** Returns the refusal of a body for which this VM has no memory left. */
-  static Refusal ofBodyWithoutMemory() {
-    return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body is left");
+  /** Returns the refusal of a head or body for which this VM has no memory left. */
+  static Refusal ofRequestWithoutMemory() {
+    return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the request is left");
   }
 
   /** Returns the refusal of a request behind too many others on its connection. */
