Bound memory and connections of the ports of control VMs and readiness

Cause: a control VM kept 8 MiB for each connection that did not finish its call, and any number of connections.

Change: CallMemory counts the calls of a connection against the same kind of budget and refuses with 503 and Retry-After. The next call of a connection waits until the answers so far are read.

--- a/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
@@ -16,6 +16,7 @@
 import java.util.Deque;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.clementinesail.server.logging.DecisionLog;
+import org.clementinesail.server.proxy.ConnectionLimit;
 
 /** A connection to an {@link HttpEndpoint}; handles its calls one at a time, in order. */
 final class EndpointConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -25,12 +26,20 @@
   private final EventLoop loop;
   private final DecisionLog log;
   private final HttpEndpoint.Handler handler;
+  private final Runnable onAllAnswered;
   private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
   private boolean busy;
   private boolean ended;
 
-  EndpointConnection(EventLoop loop, DecisionLog log, HttpEndpoint.Handler handler) {
+  /**
+   * Creates a connection.
+   *
+   * @param onAllAnswered is run when no call waits or is in progress any more
+   */
+  EndpointConnection(
+      EventLoop loop, DecisionLog log, HttpEndpoint.Handler handler, Runnable onAllAnswered) {
     super(FullHttpRequest.class);
+    this.onAllAnswered = onAllAnswered;
     this.loop = loop;
     this.log = log;
     this.handler = handler;
@@ -41,6 +50,7 @@
     if (ended) {
       return;
     }
+    ConnectionLimit.requestReceived(context.channel());
     if (waiting.size() >= MAX_WAITING_CALLS) {
       logFailure("too many calls at once", request.uri(), "connection closed");
       context.close();
@@ -51,7 +61,7 @@
   }
 
   private void handleNext(ChannelHandlerContext context) {
-    while (!busy && !ended && !waiting.isEmpty()) {
+    while (!busy && !ended && !waiting.isEmpty() && context.channel().isWritable()) {
       busy = true;
       FullHttpRequest request = waiting.removeFirst();
       try {
@@ -125,7 +135,17 @@
       written.addListener(ChannelFutureListener.CLOSE);
     }
     busy = false;
-    if (!waiting.isEmpty()) {
+    if (waiting.isEmpty()) {
+      onAllAnswered.run();
+    } else {
+      loop.execute(() -> handleNext(context));
+    }
+  }
+
+  /** Goes on with the calls that wait until the client reads the responses so far. */
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (context.channel().isWritable()) {
       loop.execute(() -> handleNext(context));
     }
   }
--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -19,7 +19,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.server.logging.DecisionLog;
+import org.clementinesail.server.proxy.BufferLimit;
+import org.clementinesail.server.proxy.ConnectionLimit;
+import org.clementinesail.server.proxy.LimitReports;
+import org.clementinesail.server.proxy.ProxyMetrics;
 
 /**
  * Minimal HTTP server without streaming: requests and responses are complete messages.
@@ -67,6 +72,35 @@
       int maxBodyBytes,
       DecisionLog log,
       Handler handler) {
+    ClientLimits limits = ClientLimits.ofMachine(Runtime.getRuntime().maxMemory(), 0, 0);
+    return listen(loop, address, maxBodyBytes, log, limits, handler);
+  }
+
+  /**
+   * Starts a server with limits of what all clients together may hold.
+   *
+   * @param loop event loop for all connections
+   * @param address address and port to listen on
+   * @param maxBodyBytes longest request body; a longer one is answered with status 413
+   * @param log receives a line for each request that cannot be parsed or that the handler fails on,
+   *     and lines about clients at the limits
+   * @param limits memory and connections of all clients together
+   * @param handler handles the requests
+   * @return the listening channel
+   */
+  public static Channel listen(
+      EventLoop loop,
+      InetSocketAddress address,
+      int maxBodyBytes,
+      DecisionLog log,
+      ClientLimits limits,
+      Handler handler) {
+    LimitReports reports = new LimitReports(new ProxyMetrics(), log);
+    BufferLimit memory =
+        new BufferLimit(
+            limits.memoryBytes(), (held, max) -> reports.record("api_memory", held, max));
+    ConnectionLimit connections =
+        new ConnectionLimit("api_connections", limits.connections(), reports);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -76,9 +110,16 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                if (!connections.admit(channel)) {
+                  return;
+                }
+                CallMemory calls = new CallMemory(memory, maxBodyBytes);
                 channel.pipeline().addLast(new HttpServerCodec());
+                channel.pipeline().addLast(calls);
                 channel.pipeline().addLast(new CallAggregator(maxBodyBytes));
-                channel.pipeline().addLast(new EndpointConnection(loop, log, handler));
+                channel
+                    .pipeline()
+                    .addLast(new EndpointConnection(loop, log, handler, calls::allAnswered));
               }
             })
         .bind(address)
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -170,6 +170,7 @@
             settings.apiAddress(), "a control VM needs an address for targets and operators"),
         MAX_BODY_BYTES,
         log,
+        settings.clientLimits(),
         api);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("updating the role", this::updateRole),
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -16,6 +16,7 @@
 import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
@@ -56,6 +57,10 @@
  */
 public final class EntryNode implements Node {
   private static final int MAX_READINESS_BODY_BYTES = 4_096;
+
+  /** Part of the descriptors and memory that the process needs itself. */
+  private static final ClientLimits READINESS_LIMITS = new ClientLimits(1_048_576, 32, 0, 0);
+
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
 
@@ -131,7 +136,16 @@
             settings.retryAllowance());
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
     StartupWait startupWait = new StartupWait(System.nanoTime());
-    this.proxy = new ProxyServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
+    this.proxy =
+        new ProxyServer(
+            loop,
+            dialect,
+            engineDialect,
+            routing,
+            startupWait,
+            settings.clientLimits(),
+            metrics,
+            log);
     this.network =
         PeerNetwork.byAddress(
             settings.name(),
@@ -185,7 +199,8 @@
     proxy.peers().checks().start(loop, subscriptions::reportReachability);
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
-      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
+      HttpEndpoint.listen(
+          loop, ready, MAX_READINESS_BODY_BYTES, log, READINESS_LIMITS, this::answerStatusRequest);
     }
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
