--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -18,6 +18,7 @@
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
@@ -59,6 +60,10 @@
  */
 public final class EntryNode implements Node {
   private static final int MAX_READINESS_BODY_BYTES = 4_096;
+
+  /** Part of the descriptors and memory that the process needs itself. */
+  private static final ClientLimits READINESS_LIMITS = new ClientLimits(1_048_576, 32, 0, 0);
+
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
 
@@ -141,7 +146,16 @@
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
     this.renewals = new StatementRenewals(routing.fleet());
     StartupWait startupWait = new StartupWait(System.nanoTime());
-    this.proxy = new ProxyServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
+    this.proxy =
+        new ProxyServer(
+            loop,
+            dialect,
+            engineDialect,
+            routing,
+            startupWait,
+            settings.clientLimits(),
+            metrics,
+            log);
     this.loadReports = new LoadReports(loop, routing, metrics, log);
     loadReports.waiting(routing.admission()::waitingByRank);
     this.network =
@@ -198,7 +212,8 @@
     proxy.peers().checks().start(loop, subscriptions::reportReachability);
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
-      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
+      HttpEndpoint.listen(
+          loop, ready, MAX_READINESS_BODY_BYTES, log, READINESS_LIMITS, this::answerStatusRequest);
     }
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.reachability.PeerPicker;
@@ -53,6 +54,8 @@
 
   private final EventLoop loop;
   private final ProxyContext context;
+  private final ClientLimits clientLimits;
+  private final LimitReports reports;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
@@ -78,6 +81,40 @@
       StartupWait startupWait,
       ProxyMetrics metrics,
       DecisionLog log) {
+    this(
+        loop,
+        dialect,
+        engineDialect,
+        routing,
+        startupWait,
+        ClientLimits.ofMachine(Runtime.getRuntime().maxMemory(), 0, 0),
+        metrics,
+        log);
+  }
+
+  /**
+   * Creates a server with other limits than those of the heap; {@link #listen} starts it.
+   *
+   * @param loop event loop that all work is done on
+   * @param dialect header names of callers and targets
+   * @param engineDialect format of reports from engines
+   * @param routing desired state, fleet and load
+   * @param startupWait how long requests wait for the first desired state
+   * @param clientLimits what all callers together may hold
+   * @param metrics receives the counters and latencies of requests
+   * @param log receives refusals, failures and retries
+   */
+  public ProxyServer(
+      EventLoop loop,
+      Dialect dialect,
+      EngineDialect engineDialect,
+      RoutingState routing,
+      StartupWait startupWait,
+      ClientLimits clientLimits,
+      ProxyMetrics metrics,
+      DecisionLog log) {
+    this.clientLimits = clientLimits;
+    this.reports = new LimitReports(metrics, log);
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
@@ -96,7 +133,8 @@
             new RateLimitReports(loop, routing, checks, log),
             new PeerRelay(peers, checks, new PeerWatch(loop, peers, log)),
             false,
-            new BufferLimit(),
+            new BufferLimit(
+                clientLimits.memoryBytes(), (held, max) -> reports.record("memory", held, max)),
             startupWait,
             metrics,
             log);
@@ -150,7 +188,8 @@
    * @param address address and port to listen on
    */
   public void listen(InetSocketAddress address) {
-    serverChannels.add(bind(address, context));
+    ConnectionLimit limit = new ConnectionLimit("connections", clientLimits.connections(), reports);
+    serverChannels.add(bind(address, context, limit));
     context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("closing idle connections", this::closeExpired),
@@ -166,10 +205,13 @@
    * @param address address and port to listen on
    */
   public void listenForPeers(InetSocketAddress address) {
-    serverChannels.add(bind(address, context.forRelayedRequests()));
+    ConnectionLimit limit =
+        new ConnectionLimit("relay_connections", clientLimits.relayConnections(), reports);
+    serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
-  private Channel bind(InetSocketAddress address, ProxyContext requestContext) {
+  private Channel bind(
+      InetSocketAddress address, ProxyContext requestContext, ConnectionLimit limit) {
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -181,6 +223,9 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                if (!limit.admit(channel)) {
+                  return;
+                }
                 int added = requestContext.relayed() ? MAX_ADDED_HEADER_BYTES : 0;
                 int head = RequestLimits.DEFAULT.maxHeaderBytes() + added;
                 HttpDecoderConfig config =
@@ -188,12 +233,15 @@
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setMaxHeaderSize(head)
                         .setValidateHeaders(false);
+                CallerConnection connection =
+                    new CallerConnection(requestContext, ProxyServer.this);
+                channel.pipeline().addLast(connection.memory());
                 channel.pipeline().addLast(new HttpServerCodec(config));
                 channel.pipeline().addLast(new RequestHeadCheck());
                 if (requestContext.relayed()) {
                   channel.pipeline().addLast(new SignOfLife(ProxyServer.this::reachesTargets));
                 }
-                channel.pipeline().addLast(new CallerConnection(requestContext, ProxyServer.this));
+                channel.pipeline().addLast(connection);
               }
             })
         .bind(address)
@@ -293,6 +341,15 @@
     List.copyOf(connections).forEach(c -> c.closeIfExpired(now));
   }
 
+  ClientLimits clientLimits() {
+    return clientLimits;
+  }
+
+  /** Records that a connection is ended for a limit of its own. */
+  void limitReached(String kind) {
+    reports.record(kind, connections.size(), clientLimits.connections());
+  }
+
   boolean draining() {
     return plannedStop != null;
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/AdmissionByRankTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/AdmissionByRankTest.java
@@ -17,7 +17,7 @@
 /** Tests that callers get targets and refusals in the order of their ranks. */
 public class AdmissionByRankTest extends ProxyTest {
 
-  private Map<String, int[]> waiting() throws Exception {
+  private Map<FleetLoad.Waiting, Integer> waiting() throws Exception {
     return loop.submit(() -> routing.admission().waitingByRank()).get();
   }
 
@@ -28,13 +28,13 @@
     first.script = request -> OK_RESPONSE;
     ExecutorService callers = Executors.newSingleThreadExecutor();
     var answer = callers.submit(() -> call("POST", "/safe/x", "", "x"));
-    for (int i = 0; i < 100 && !waiting().containsKey("s"); i++) {
+    for (int i = 0; i < 100 && waiting().isEmpty(); i++) {
       TimeUnit.MILLISECONDS.sleep(1);
     }
-    assertEquals(waiting().get("s")[1], 1);
+    assertEquals(waiting(), Map.of(new FleetLoad.Waiting("s", 1), 1));
     addTarget("t1", first, "a");
     assertTrue(answer.get().startsWith("HTTP/1.1 200"), answer.get());
-    assertEquals(waiting().get("s")[1], 0);
+    assertEquals(waiting(), Map.of());
     callers.shutdown();
   }
 
