Read requests of callers in a class of their own

Change: RequestReader collects the request that arrives, and ConnectionMemory keeps the unwritten parts of responses.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -43,28 +43,22 @@
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
   private @Nullable Channel channel;
-  private @Nullable HttpRequest head;
-  private RequestBody body;
+  private final RequestReader reader;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
   private boolean responseBegun;
   private boolean responseBroken;
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
-  private int unsentWrites;
   private final IdleTime idleTime;
   private final ConnectionMemory memory;
 
-  /** When a part of a response was last written completely, or the first unwritten one began. */
-  private long writtenAt = System.nanoTime();
-
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
-    this.body = newBody();
-    this.memory =
-        new ConnectionMemory(context.buffers(), new UnreadOrUnfinished(), this::refuseForMemory);
     this.idleTime = new IdleTime(context::idleTimeoutMillis);
+    this.reader = new RequestReader(context, this, idleTime);
+    this.memory = new ConnectionMemory(context.buffers(), this);
   }
 
   /** Returns the handler that must stand before the decoder. */
@@ -72,26 +66,14 @@
     return memory;
   }
 
-  private RequestBody newBody() {
-    return new RequestBody(context.buffers(), () -> refuseBody(Refusal.ofRequestWithoutMemory()));
-  }
-
-  /** Ends the connection for what it holds outside of requests. */
-  private final class UnreadOrUnfinished implements BufferLimit.Holder {
-    @Override
-    public boolean mayBeEnded() {
-      return exchange == null || !isWritable();
-    }
-
-    @Override
-    public void end() {
-      memory.release();
-      close();
-    }
+  /** Returns whether the connection may be closed for what it holds outside of requests. */
+  boolean mayBeClosed() {
+    return exchange == null || !isWritable();
   }
 
-  private void refuseForMemory() {
-    if (unsentWrites > 0) {
+  /** Refuses what is being read; a response that is not read cannot be followed by a status. */
+  void refuseForMemory() {
+    if (memory.hasUnsent()) {
       close();
     } else if (refusal == null) {
       refuseAndClose(Refusal.ofRequestWithoutMemory());
@@ -116,61 +98,27 @@
         return;
       }
       if (message instanceof HttpRequest request) {
-        begin(handlerContext, request);
+        reader.begin(handlerContext, request);
       }
       if (message instanceof HttpContent content && refusal == null) {
-        appendBody(content);
+        reader.append(content);
       }
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
-  private void begin(ChannelHandlerContext handlerContext, HttpRequest request) {
-    head = request;
-    if (!body.begin(HeadSize.of(request))) {
-      refuseBody(Refusal.ofRequestWithoutMemory());
-      return;
-    }
-    if (HttpUtil.is100ContinueExpected(request)) {
-      handlerContext.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-    }
-  }
-
-  private void appendBody(HttpContent content) {
-    HttpRequest request = head;
-    if (request == null) {
-      return;
-    }
-    idleTime.begin();
-    RequestBody.Result result = body.add(content.content(), context.requestLimits().maxBodyBytes());
-    if (result == RequestBody.Result.TOO_LONG) {
-      refuseBody(Refusal.ofTooLargeBody());
-    } else if (result == RequestBody.Result.NO_MEMORY) {
-      refuseBody(Refusal.ofRequestWithoutMemory());
-    } else if (content instanceof LastHttpContent) {
-      addRequest(request);
-    }
-  }
-
-  private void refuseBody(Refusal reason) {
-    body.release();
-    refuseAndClose(reason);
-  }
-
-  private void addRequest(HttpRequest request) {
-    head = null;
-    body.complete();
+  /** Processes a complete request after those before it. */
+  void received(ReceivedRequest request) {
     if (channel != null) {
       ConnectionLimit.requestReceived(channel);
     }
     if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
-      refuseBody(Refusal.ofTooManyRequests());
+      request.body().release();
+      refuseAndClose(Refusal.ofTooManyRequests());
       return;
     }
-    waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
-    body = newBody();
+    waiting.addLast(request);
     startNextRequest();
   }
 
@@ -210,7 +158,7 @@
   }
 
   /** Refuses further requests, after the responses to those that have been read. */
-  private void refuseAndClose(Refusal next) {
+  void refuseAndClose(Refusal next) {
     refusal = next;
     startNextRequest();
   }
@@ -314,17 +262,13 @@
   }
 
   private ChannelFuture write(Channel open, Object message) {
-    writtenAt = unsentWrites++ == 0 ? System.nanoTime() : writtenAt;
+    memory.writeBegun();
     return open.write(message).addListener(this::onWritten);
   }
 
   /** A response that cannot be written has no other end than that of the connection. */
   private void onWritten(Future<? super Void> written) {
-    unsentWrites--;
-    writtenAt = System.nanoTime();
-    if (channel != null) {
-      memory.update(channel);
-    }
+    memory.writeEnded(channel);
     if (exchange == null) {
       idleTime.begin();
     }
@@ -396,18 +340,15 @@
   }
 
   private boolean isIdle() {
-    return exchange == null && head == null && waiting.isEmpty() && unsentWrites == 0;
+    return exchange == null && !reader.isReading() && waiting.isEmpty() && !memory.hasUnsent();
   }
 
   /** Ends a connection after the idle timeout that its caller knew when it became idle. */
   void closeIfExpired(long now) {
-    long idleMillis = context.idleTimeoutMillis();
-    if (head != null && refusal == null && body.isLate(now, server.clientLimits(), idleMillis)) {
-      server.limitReached("body_rate");
-      refuseBody(Refusal.ofStalledBody());
-    } else if (idleTime.isOver(now) && head != null && refusal == null) {
-      refuseBody(Refusal.ofStalledBody());
-    } else if (unsentWrites > 0 && now - writtenAt > idleTime.limitNanos()) {
+    boolean reading = reader.isReading() && refusal == null;
+    if (reading && (idleTime.isOver(now) || reader.isLate(now, server))) {
+      reader.refuse(Refusal.ofStalledBody());
+    } else if (memory.isUnreadFor(now, idleTime.limitNanos())) {
       server.limitReached("unread_response");
       close();
     } else if (idleTime.isOver(now)) {
@@ -435,7 +376,7 @@
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.connectionClosed(this);
     lastResponseSent = true;
-    body.release();
+    reader.release();
     memory.release();
     waiting.forEach(received -> received.body().release());
     waiting.clear();
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
@@ -5,26 +5,65 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counts what a connection of a caller holds besides its requests: the beginning of a head in the
  * decoder, and responses that the caller does not read. Stands before the decoder.
  */
-final class ConnectionMemory extends ChannelInboundHandlerAdapter {
+final class ConnectionMemory extends ChannelInboundHandlerAdapter implements BufferLimit.Holder {
   private final BufferLimit.Reservation reservation;
-  private final Runnable noMemory;
+  private final CallerConnection connection;
   private int undecodedBytes;
+  private int unsentWrites;
+
+  /** When a write last ended, or the first of those that have not ended began. */
+  private long writtenAt = System.nanoTime();
 
   /**
    * Creates a handler for one connection.
    *
    * @param limit limit of all connections
-   * @param holder ends the connection
-   * @param noMemory is run if there is no memory for what the connection holds
+   * @param connection is ended if there is no memory for what it holds
    */
-  ConnectionMemory(BufferLimit limit, BufferLimit.Holder holder, Runnable noMemory) {
-    this.reservation = limit.reservation(holder);
-    this.noMemory = noMemory;
+  ConnectionMemory(BufferLimit limit, CallerConnection connection) {
+    this.reservation = limit.reservation(this);
+    this.connection = connection;
+  }
+
+  @Override
+  public boolean mayBeEnded() {
+    return connection.mayBeClosed();
+  }
+
+  @Override
+  public void end() {
+    release();
+    connection.close();
+  }
+
+  /** Records that a part of a response is being written. */
+  void writeBegun() {
+    writtenAt = unsentWrites == 0 ? System.nanoTime() : writtenAt;
+    unsentWrites++;
+  }
+
+  /** Records that a write has ended or failed. */
+  void writeEnded(@Nullable Channel channel) {
+    unsentWrites--;
+    writtenAt = System.nanoTime();
+    if (channel != null) {
+      update(channel);
+    }
+  }
+
+  boolean hasUnsent() {
+    return unsentWrites > 0;
+  }
+
+  /** Returns whether the caller has taken no part of a response for longer than the given time. */
+  boolean isUnreadFor(long now, long nanos) {
+    return hasUnsent() && now - writtenAt > nanos;
   }
 
   /** Records that the decoder has passed on all that it held. */
@@ -48,7 +87,7 @@
       release();
     } else if (!reservation.resize(
         (int) Math.min(Integer.MAX_VALUE, undecodedBytes + unsentBytes))) {
-      noMemory.run();
+      connection.refuseForMemory();
     }
   }
 
