Close idle connections of callers before new ones are refused

Cause: where every connection had had a request, kept idle connections locked out new callers until the idle timeout. An eighth of the connections was little for other VMs that are cut off from targets.

Change: at the limit, connections that are idle for 2 s are closed, and new ones may use the room of the other port meanwhile. Other VMs get a quarter of the connections.

--- a/core/src/main/java/org/clementinesail/core/limits/ClientLimits.java
+++ b/core/src/main/java/org/clementinesail/core/limits/ClientLimits.java
@@ -25,7 +25,7 @@
   private static final int OWN_DESCRIPTORS = 64;
 
   /** Of the connections of clients, one in this many is for other VMs. */
-  private static final int RELAY_DIVISOR = 8;
+  private static final int RELAY_DIVISOR = 4;
 
   /** Idle timeouts that a body may take besides the time by its rate. */
   private static final int BODY_IDLE_TIMEOUTS = 4;
--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -100,7 +100,7 @@
         new BufferLimit(
             limits.memoryBytes(), (held, max) -> reports.record("api_memory", held, max));
     ConnectionLimit connections =
-        new ConnectionLimit("api_connections", limits.connections(), reports);
+        new ConnectionLimit("api_connections", limits.connections(), reports, () -> false);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
@@ -5,11 +5,13 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Limits the connections to one port, so that those to targets, other VMs and control VMs find
- * descriptors. When it is reached, the oldest connection on which no request has arrived is closed;
- * without one, the new connection is closed. Confined to the event loop.
+ * descriptors. When it is reached, the oldest connection on which no request has arrived is closed.
+ * Without one, the new connection is closed unless idle ones are about to be. Confined to the event
+ * loop.
  *
  * <pre>{@code
  * if (limit.admit(channel)) { ... }
@@ -23,6 +25,7 @@
   private final String kind;
   private final int maxConnections;
   private final LimitReports reports;
+  private final BooleanSupplier closeIdle;
   private final Set<Channel> withoutRequest = new LinkedHashSet<>();
   private int open;
 
@@ -32,8 +35,12 @@
    * @param kind name of the limit in metrics and log
    * @param maxConnections maximum number of open connections
    * @param reports receives the connections that are closed for the limit
+   * @param closeIdle begins to close idle connections that have had a request; returns whether a
+   *     new one may be accepted meanwhile
    */
-  public ConnectionLimit(String kind, int maxConnections, LimitReports reports) {
+  public ConnectionLimit(
+      String kind, int maxConnections, LimitReports reports, BooleanSupplier closeIdle) {
+    this.closeIdle = closeIdle;
     this.kind = kind;
     this.maxConnections = maxConnections;
     this.reports = reports;
@@ -59,6 +66,9 @@
       return true;
     }
     reports.record(kind, open, maxConnections);
+    if (withoutRequest.size() == 1 && closeIdle.getAsBoolean()) {
+      return true;
+    }
     Iterator<Channel> oldest = withoutRequest.iterator();
     Channel closed = oldest.next();
     oldest.remove();
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -42,6 +42,14 @@
   /** Interval of checks for idle connections. */
   private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
+  /**
+   * Idle time after which a connection may be closed for lack of descriptors; other VMs send
+   * requests that must not be repeated on connections that are idle for up to 1.5 s.
+   */
+  private static final long MIN_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private static final long MIN_IDLE_CLOSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private static final int MAX_REQUEST_LINE_BYTES = 16_384;
 
   /** Room for the headers that another VM adds to a request that its caller's port has accepted. */
@@ -59,6 +67,7 @@
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
   private @Nullable PlannedStop plannedStop;
+  private long idleClosedAt = System.nanoTime() - MIN_IDLE_CLOSE_INTERVAL_NANOS;
 
   /**
    * Creates a server; {@link #listen} starts it.
@@ -160,7 +169,8 @@
    * @param address address and port to listen on
    */
   public void listen(InetSocketAddress address) {
-    ConnectionLimit limit = new ConnectionLimit("connections", clientLimits.connections(), reports);
+    ConnectionLimit limit =
+        new ConnectionLimit("connections", clientLimits.connections(), reports, this::closeIdle);
     serverChannels.add(bind(address, context, limit));
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
@@ -182,7 +192,8 @@
    */
   public void listenForPeers(InetSocketAddress address) {
     ConnectionLimit limit =
-        new ConnectionLimit("relay_connections", clientLimits.relayConnections(), reports);
+        new ConnectionLimit(
+            "relay_connections", clientLimits.relayConnections(), reports, this::closeIdle);
     serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
@@ -276,6 +287,20 @@
     serverChannels.forEach(Channel::close);
   }
 
+  /**
+   * Begins to close connections that are idle, at most every 100 ms. Returns whether all ports
+   * together still have room for a new one.
+   */
+  private boolean closeIdle() {
+    long now = System.nanoTime();
+    if (now - idleClosedAt > MIN_IDLE_CLOSE_INTERVAL_NANOS) {
+      idleClosedAt = now;
+      List.copyOf(connections).forEach(c -> c.closeIfIdle(now, MIN_IDLE_NANOS));
+    }
+    long max = (long) clientLimits.connections() + clientLimits.relayConnections();
+    return connections.size() < max;
+  }
+
   private boolean reachesTargets() {
     return context.peers().checks().reachability().cutOff().isEmpty();
   }
--- a/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
@@ -18,7 +18,9 @@
   /** Idle connections without a request make room; those with a request are kept. */
   @Test
   public void idleConnectionsLockOutNewOnes() {
-    ConnectionLimit limit = new ConnectionLimit("c", 2, new LimitReports(metrics, log));
+    boolean[] closesIdle = new boolean[1];
+    LimitReports reports = new LimitReports(metrics, log);
+    ConnectionLimit limit = new ConnectionLimit("c", 2, reports, () -> closesIdle[0]);
     EmbeddedChannel used = new EmbeddedChannel();
     EmbeddedChannel idle = new EmbeddedChannel();
     EmbeddedChannel next = new EmbeddedChannel();
@@ -29,7 +31,11 @@
     ConnectionLimit.requestReceived(next);
     assertFalse(limit.admit(new EmbeddedChannel()), "all connections have had a request");
     next.close();
-    assertTrue(limit.admit(new EmbeddedChannel()), "a closed connection still counts");
-    assertEquals(metrics.text(), "client_limit_total{kind=\"c\"} 2\n");
+    EmbeddedChannel last = new EmbeddedChannel();
+    assertTrue(limit.admit(last), "a closed connection still counts");
+    closesIdle[0] = true;
+    ConnectionLimit.requestReceived(last);
+    assertTrue(limit.admit(new EmbeddedChannel()), "idle connections are being closed");
+    assertEquals(metrics.text(), "client_limit_total{kind=\"c\"} 3\n");
   }
 }
