--- a/core/src/main/java/org/clementinesail/core/limits/ClientLimits.java
+++ b/core/src/main/java/org/clementinesail/core/limits/ClientLimits.java
@@ -12,8 +12,8 @@
  */
 public record ClientLimits(
     long memoryBytes, int connections, int relayConnections, int minBodyBytesPerSecond) {
-  /** Default of {@link #minBodyBytesPerSecond}; a modem of 1995 is faster. */
-  public static final int DEFAULT_MIN_BODY_RATE = 1_024;
+  /** Default: none, as a slow client that keeps to the idle timeout is inside the limits. */
+  public static final int DEFAULT_MIN_BODY_RATE = 0;
 
   /** Buffers double their capacity as they grow, and are copied for it. */
   private static final int HEAP_DIVISOR = 5;
@@ -25,7 +25,7 @@
   private static final int OWN_DESCRIPTORS = 64;
 
   /** Of the connections of clients, one in this many is for other VMs. */
-  private static final int RELAY_DIVISOR = 8;
+  private static final int RELAY_DIVISOR = 4;
 
   /** Idle timeouts that a body may take besides the time by its rate. */
   private static final int BODY_IDLE_TIMEOUTS = 4;
--- /dev/null
+++ b/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
@@ -0,0 +1,41 @@
+package org.clementinesail.server.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.PrintStream;
+import org.clementinesail.server.logging.DecisionLog;
+import org.testng.annotations.Test;
+
+/** Tests which connection is closed when there are too many. */
+public final class ConnectionLimitTest {
+  private final ProxyMetrics metrics = new ProxyMetrics();
+  private final DecisionLog log =
+      new DecisionLog("test", new PrintStream(PrintStream.nullOutputStream()));
+
+  /** Idle connections without a request make room; those with a request are kept. */
+  @Test
+  public void idleConnectionsLockOutNewOnes() {
+    boolean[] closesIdle = new boolean[1];
+    LimitReports reports = new LimitReports(metrics, log);
+    ConnectionLimit limit = new ConnectionLimit("c", 2, reports, () -> closesIdle[0]);
+    EmbeddedChannel used = new EmbeddedChannel();
+    EmbeddedChannel idle = new EmbeddedChannel();
+    EmbeddedChannel next = new EmbeddedChannel();
+    assertTrue(limit.admit(used) && limit.admit(idle));
+    ConnectionLimit.requestReceived(used);
+    assertTrue(limit.admit(next));
+    assertTrue(used.isOpen() && !idle.isOpen() && next.isOpen());
+    ConnectionLimit.requestReceived(next);
+    assertFalse(limit.admit(new EmbeddedChannel()), "all connections have had a request");
+    next.close();
+    EmbeddedChannel last = new EmbeddedChannel();
+    assertTrue(limit.admit(last), "a closed connection still counts");
+    closesIdle[0] = true;
+    ConnectionLimit.requestReceived(last);
+    assertTrue(limit.admit(new EmbeddedChannel()), "idle connections are being closed");
+    assertEquals(metrics.text(), "client_limit_total{kind=\"c\"} 3\n");
+  }
+}
