Do not send to servers that refuse for want of room

Under overload a request was refused by each server in turn, used up its attempts and the retry budget, and urgent calls ended refused like the others. A server that has refused gets the next request when it has ended one of this VM, or after 250 ms; if all are full, requests wait in their queue, with a probe every 50 ms.

--- a/server/src/main/java/org/clementinesail/server/proxy/AdmissionQueues.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AdmissionQueues.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.clementinesail.core.admission.AdmissionQueue;
+import org.clementinesail.core.admission.FullTargets;
 import org.clementinesail.core.admission.WaitingRequest;
 import org.clementinesail.core.load.FleetLoad;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +24,7 @@
   private Predicate<String> cutOff = service -> false;
   private @Nullable Executor loop;
   private final Map<String, Integer> ended = new HashMap<>();
+  private final FullTargets fullTargets = new FullTargets();
   private boolean wakeIsDue;
   private long lastId;
 
@@ -75,8 +77,14 @@
     }
   }
 
+  /** Returns the targets that refuse requests for want of room. */
+  FullTargets fullTargets() {
+    return fullTargets;
+  }
+
   /** Records that a target has ended a request, and looks at the queue of its service soon. */
-  void requestEnded(String service) {
+  void requestEnded(String service, String target) {
+    fullTargets.recordEnded(target);
     if (!waiting.isEmpty()) {
       ended.merge(service, 1, Integer::sum);
       wake();
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -161,7 +161,7 @@
     finished = true;
     assignments.forEach(a -> context.routing().ownLoad().release(a, System.nanoTime()));
     if (head != null && mode != ResponseMode.REFUSED) {
-      context.routing().admission().requestEnded(target.service());
+      context.routing().admission().requestEnded(target.service(), target.id());
     }
     context.peers().recordEnd(peer);
     reservation.release();
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -49,6 +49,13 @@
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
+    if (from.peer() == null && from.path().isEmpty() && isForWantOfRoom(response)) {
+      context
+          .routing()
+          .admission()
+          .fullTargets()
+          .recordRefused(from.target().id(), System.nanoTime());
+    }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
@@ -60,6 +67,11 @@
     }
   }
 
+  private static boolean isForWantOfRoom(HttpResponse response) {
+    return response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        || response.status().equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+  }
+
   /** Checks whether this VM still reaches the service after a target has failed. */
   private void checkReachability(Attempt from) {
     if (from.peer() == null) {
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -16,6 +16,7 @@
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.RetryBudget;
 import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.paths.Hop;
@@ -381,6 +382,8 @@
   /** Records that a request is sent to a target. */
   void recordSent(Fleet.Member target, long now) {
     permissions.recordSent(target.statement(), trafficVms, now);
+    TargetStatement statement = target.statement();
+    admission.fullTargets().recordSent(statement.service(), statement.id(), now);
   }
 
   /** Records a request sent to the engines of a path; returns the load added to each engine. */
@@ -410,6 +413,21 @@
     Set<String> avoided = withoutPermit(ready, now);
     avoided.addAll(excluded);
     Optional<String> selected = drawDataCentre(service, 0, now);
+    List<String> ids = ready.stream().map(member -> member.statement().id()).toList();
+    Set<String> full = admission.fullTargets().among(ids, now);
+    if (!full.isEmpty()) {
+      Set<String> withFull = new HashSet<>(avoided);
+      withFull.addAll(full);
+      Optional<Fleet.Member> free = pickServer(ready, withFull, selected, now);
+      if (free.isPresent() || !admission.fullTargets().mayProbe(service.name(), now)) {
+        return free;
+      }
+    }
+    return pickServer(ready, avoided, selected, now);
+  }
+
+  private Optional<Fleet.Member> pickServer(
+      List<Fleet.Member> ready, Set<String> avoided, Optional<String> selected, long now) {
     return selected.isPresent()
         ? serverPicker.pickByShare(ready, avoided, selected.get(), now)
         : serverPicker.pick(ready, avoided, settings.dataCentre(), now);
