Never refuse memory for responses that are being sent

When idle uploads held the memory, the next write of a running response was refused and its connection closed. Bytes that are already written are now always counted, and other holders are ended instead. Only the beginning of a request on a connection without a running exchange or unsent response is refused.

--- a/server/src/main/java/org/clementinesail/server/proxy/BufferLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/BufferLimit.java
@@ -142,6 +142,29 @@
       if (size > bytes && !hasRoom(size)) {
         return false;
       }
+      set(size);
+      return true;
+    }
+
+    /**
+     * Changes the reservation to the size of something that is held already. It is never refused,
+     * as it cannot be undone; other holders are ended while the limit and reserve are exceeded.
+     *
+     * @param size size in bytes
+     */
+    void hold(int size) {
+      boolean grows = size > bytes;
+      set(size);
+      long allowed = maxBytes + reserveBytes;
+      if (grows && reservedBytes > allowed) {
+        refusals.record(reservedBytes, allowed);
+        while (reservedBytes > allowed && endLargest(this)) {
+          // Each pass ends one holder.
+        }
+      }
+    }
+
+    private void set(int size) {
       reservedBytes += size - bytes;
       bytes = size;
       if (holder != null && size > 0) {
@@ -149,7 +172,6 @@
       } else {
         evictable.remove(this);
       }
-      return true;
     }
 
     private boolean hasRoom(int size) {
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -71,11 +71,14 @@
     return exchange == null || !isWritable();
   }
 
-  /** Refuses what is being read; a response that is not read cannot be followed by a status. */
+  /** Returns whether a request is being processed. */
+  boolean hasExchange() {
+    return exchange != null;
+  }
+
+  /** Refuses the request whose beginning has been read, after those before it. */
   void refuseForMemory() {
-    if (memory.hasUnsent()) {
-      close();
-    } else if (refusal == null) {
+    if (refusal == null) {
       refuseAndClose(Refusal.ofRequestWithoutMemory());
     }
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
@@ -83,10 +83,13 @@
   void update(Channel channel) {
     ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
     long unsentBytes = unsent == null ? 0 : unsent.totalPendingWriteBytes();
+    int size = (int) Math.min(Integer.MAX_VALUE, undecodedBytes + unsentBytes);
     if (!channel.isOpen()) {
       release();
-    } else if (!reservation.resize(
-        (int) Math.min(Integer.MAX_VALUE, undecodedBytes + unsentBytes))) {
+    } else if (undecodedBytes == 0 || unsentBytes > 0 || hasUnsent() || connection.hasExchange()) {
+      // A refusal would cut off a response, or follow one without a request.
+      reservation.hold(size);
+    } else if (!reservation.resize(size)) {
       connection.refuseForMemory();
     }
   }
