Count unsent bytes after Netty has subtracted a write

Netty completes the promise of a write before it subtracts its bytes, so a reservation kept the bytes of the last response while its connection was idle. One recount for each batch of writes now runs as a later task of the event loop.

--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
@@ -16,6 +16,7 @@
   private final CallerConnection connection;
   private int undecodedBytes;
   private int unsentWrites;
+  private boolean updateScheduled;
 
   /** When a write last ended, or the first of those that have not ended began. */
   private long writtenAt = System.nanoTime();
@@ -52,9 +53,21 @@
   void writeEnded(@Nullable Channel channel) {
     unsentWrites--;
     writtenAt = System.nanoTime();
-    if (channel != null) {
-      update(channel);
+    if (channel == null) {
+      return;
     }
+    if (!channel.isOpen()) {
+      release();
+    } else if (!updateScheduled) {
+      // Netty completes a write before it subtracts its bytes from the unsent ones.
+      updateScheduled = true;
+      channel.eventLoop().execute(() -> updateLater(channel));
+    }
+  }
+
+  private void updateLater(Channel channel) {
+    updateScheduled = false;
+    update(channel);
   }
 
   boolean hasUnsent() {
