Keep running responses that their callers read

A running response could be ended to free memory as soon as its channel was not writable, which is normal backpressure. It is now ended only if its caller has taken no part of it for 3 s.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -39,6 +39,9 @@
   /** Time in which the event loop reads what has already arrived on a connection. */
   private static final long READ_BEFORE_CLOSE_MS = 5;
 
+  /** A caller that has taken no part of a response for this long does not read it. */
+  private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private final ProxyContext context;
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
@@ -68,7 +71,7 @@
 
   /** Returns whether the connection may be closed for what it holds outside of requests. */
   boolean mayBeClosed() {
-    return exchange == null || !isWritable();
+    return exchange == null || memory.isUnreadFor(System.nanoTime(), UNREAD_NANOS);
   }
 
   /** Returns whether a request is being processed. */
