Keep new connections until they had time for a request

At the connection limit the oldest connection without a request was closed even if it was only just accepted, so that two callers that connected at the same time closed each other, and idle connections were closed for the first of them only. Idle connections are now closed first for each new connection, and one without a request only after the header timeout; otherwise the newest one is refused.

--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.server.logging.DecisionLog;
@@ -42,6 +43,9 @@
   /** Longest logged text of a caller; it may be of any length. */
   private static final int MAX_LOGGED_CHARS = 200;
 
+  /** Time for the first call; its clients connect only when they have one to make. */
+  private static final long FIRST_CALL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private HttpEndpoint() {}
 
   /** Handles requests on the event loop; may respond later. */
@@ -100,7 +104,7 @@
         new BufferLimit(
             limits.memoryBytes(), (held, max) -> reports.record("api_memory", held, max));
     ConnectionLimit connections =
-        new ConnectionLimit("api_connections", limits.connections(), reports, () -> false);
+        new ConnectionLimit("api_connections", limits.connections(), reports, () -> false, () -> FIRST_CALL_NANOS);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
@@ -2,16 +2,16 @@
 
 import io.netty.channel.Channel;
 import io.netty.util.AttributeKey;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Limits the connections to one port, so that those to targets, other VMs and control VMs find
- * descriptors. When it is reached, the oldest connection on which no request has arrived is closed.
- * Without one, the new connection is closed unless idle ones are about to be. Confined to the event
- * loop.
+ * descriptors. When it is reached, idle connections are closed. If there are none, the oldest
+ * connection on which no request has arrived in time is closed, and without one the new connection.
+ * Confined to the event loop.
  *
  * <pre>{@code
  * if (limit.admit(channel)) { ... }
@@ -26,7 +26,11 @@
   private final int maxConnections;
   private final LimitReports reports;
   private final BooleanSupplier closeIdle;
-  private final Set<Channel> withoutRequest = new LinkedHashSet<>();
+  private final LongSupplier requestNanos;
+
+  /** Connections on which no request has arrived, oldest first, with the time of admission. */
+  private final Map<Channel, Long> withoutRequest = new LinkedHashMap<>();
+
   private int open;
 
   /**
@@ -37,9 +41,11 @@
    * @param reports receives the connections that are closed for the limit
    * @param closeIdle begins to close idle connections that have had a request; returns whether a
    *     new one may be accepted meanwhile
+   * @param requestNanos time in nanoseconds in which a new connection is not closed for another one
    */
   public ConnectionLimit(
-      String kind, int maxConnections, LimitReports reports, BooleanSupplier closeIdle) {
+      String kind, int maxConnections, LimitReports reports, BooleanSupplier closeIdle, LongSupplier requestNanos) {
+    this.requestNanos = requestNanos;
     this.closeIdle = closeIdle;
     this.kind = kind;
     this.maxConnections = maxConnections;
@@ -53,7 +59,8 @@
    */
   public boolean admit(Channel channel) {
     open++;
-    withoutRequest.add(channel);
+    long now = System.nanoTime();
+    withoutRequest.put(channel, now);
     channel.attr(LIMIT).set(this);
     channel
         .closeFuture()
@@ -66,16 +73,20 @@
       return true;
     }
     reports.record(kind, open, maxConnections);
-    if (withoutRequest.size() == 1 && closeIdle.getAsBoolean()) {
+    if (closeIdle.getAsBoolean()) {
       return true;
     }
-    Iterator<Channel> oldest = withoutRequest.iterator();
-    Channel closed = oldest.next();
-    oldest.remove();
+    Channel closed = leastUsed(channel, now);
     closed.close();
     return closed != channel;
   }
 
+  /** Returns the connection to close; the new one if every other may still be needed. */
+  private Channel leastUsed(Channel added, long now) {
+    Map.Entry<Channel, Long> oldest = withoutRequest.entrySet().iterator().next();
+    return now - oldest.getValue() >= requestNanos.getAsLong() ? oldest.getKey() : added;
+  }
+
   /** Records that a complete request has arrived on a connection. */
   public static void requestReceived(Channel channel) {
     ConnectionLimit limit = channel.attr(LIMIT).get();
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -198,7 +198,7 @@
    */
   public void listen(InetSocketAddress address) {
     ConnectionLimit limit =
-        new ConnectionLimit("connections", clientLimits.connections(), reports, this::closeIdle);
+        new ConnectionLimit("connections", clientLimits.connections(), reports, this::closeIdle, this::headerTimeoutNanos);
     serverChannels.add(bind(address, context, limit));
     context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
@@ -217,7 +217,7 @@
   public void listenForPeers(InetSocketAddress address) {
     ConnectionLimit limit =
         new ConnectionLimit(
-            "relay_connections", clientLimits.relayConnections(), reports, this::closeIdle);
+            "relay_connections", clientLimits.relayConnections(), reports, this::closeIdle, this::headerTimeoutNanos);
     serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
@@ -315,6 +315,10 @@
    * Begins to close connections that are idle, at most every 100 ms. Returns whether all ports
    * together still have room for a new one.
    */
+  private long headerTimeoutNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(context.requestLimits().headerTimeoutMillis());
+  }
+
   private boolean closeIdle() {
     long now = System.nanoTime();
     if (now - idleClosedAt > MIN_IDLE_CLOSE_INTERVAL_NANOS) {
--- a/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
@@ -20,7 +20,7 @@
   public void idleConnectionsLockOutNewOnes() {
     boolean[] closesIdle = new boolean[1];
     LimitReports reports = new LimitReports(metrics, log);
-    ConnectionLimit limit = new ConnectionLimit("c", 2, reports, () -> closesIdle[0]);
+    ConnectionLimit limit = new ConnectionLimit("c", 2, reports, () -> closesIdle[0], () -> 0);
     EmbeddedChannel used = new EmbeddedChannel();
     EmbeddedChannel idle = new EmbeddedChannel();
     EmbeddedChannel next = new EmbeddedChannel();
@@ -38,4 +38,38 @@
     assertTrue(limit.admit(new EmbeddedChannel()), "idle connections are being closed");
     assertEquals(metrics.text(), "client_limit_total{kind=\"c\"} 3\n");
   }
+
+  /** A burst of new connections does not close those of it that have had no time for a request. */
+  @Test
+  public void newConnectionsCloseEachOther() {
+    long[] requestNanos = {Long.MAX_VALUE};
+    LimitReports reports = new LimitReports(metrics, log);
+    ConnectionLimit limit =
+        new ConnectionLimit("n", 2, reports, () -> false, () -> requestNanos[0]);
+    EmbeddedChannel used = new EmbeddedChannel();
+    EmbeddedChannel first = new EmbeddedChannel();
+    EmbeddedChannel second = new EmbeddedChannel();
+    assertTrue(limit.admit(used));
+    ConnectionLimit.requestReceived(used);
+    assertTrue(limit.admit(first));
+    assertFalse(limit.admit(second), "the first one may still send its request");
+    assertTrue(used.isOpen() && first.isOpen() && !second.isOpen());
+    requestNanos[0] = 0;
+    assertTrue(limit.admit(new EmbeddedChannel()));
+    assertFalse(first.isOpen(), "no request has come in time");
+  }
+
+  /** Idle connections make room for each of two new ones at once. */
+  @Test
+  public void onlyOneNewConnectionMakesIdleOnesClose() {
+    LimitReports reports = new LimitReports(metrics, log);
+    ConnectionLimit limit = new ConnectionLimit("i", 1, reports, () -> true, () -> 0);
+    EmbeddedChannel used = new EmbeddedChannel();
+    EmbeddedChannel first = new EmbeddedChannel();
+    EmbeddedChannel second = new EmbeddedChannel();
+    assertTrue(limit.admit(used));
+    ConnectionLimit.requestReceived(used);
+    assertTrue(limit.admit(first) && limit.admit(second));
+    assertTrue(first.isOpen() && second.isOpen());
+  }
 }
