Close kept connections without a call at the limit of an endpoint

Clients that had made one call each could keep all connections of the readiness port or of a control VM, which then refused health checks and heartbeats. At the limit, the connection whose last call ended longest ago is now closed if it has no call in progress.

--- a/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/EndpointConnection.java
@@ -135,6 +135,12 @@
       written.addListener(ChannelFutureListener.CLOSE);
     }
     busy = false;
+    written.addListener(
+        sent -> {
+          if (!busy && waiting.isEmpty()) {
+            ConnectionLimit.callsEnded(context.channel());
+          }
+        });
     if (waiting.isEmpty()) {
       onAllAnswered.run();
     } else {
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
@@ -3,7 +3,9 @@
 import io.netty.channel.Channel;
 import io.netty.util.AttributeKey;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -31,6 +33,9 @@
   /** Connections on which no request has arrived, oldest first, with the time of admission. */
   private final Map<Channel, Long> withoutRequest = new LinkedHashMap<>();
 
+  /** Connections whose calls have all ended, in the order of the end of the last one. */
+  private final Set<Channel> ended = new LinkedHashSet<>();
+
   private int open;
 
   /**
@@ -68,6 +73,7 @@
             closed -> {
               open--;
               withoutRequest.remove(channel);
+              ended.remove(channel);
             });
     if (open <= maxConnections) {
       return true;
@@ -84,7 +90,10 @@
   /** Returns the connection to close; the new one if every other may still be needed. */
   private Channel leastUsed(Channel added, long now) {
     Map.Entry<Channel, Long> oldest = withoutRequest.entrySet().iterator().next();
-    return now - oldest.getValue() >= requestNanos.getAsLong() ? oldest.getKey() : added;
+    if (now - oldest.getValue() >= requestNanos.getAsLong()) {
+      return oldest.getKey();
+    }
+    return ended.isEmpty() ? added : ended.iterator().next();
   }
 
   /** Records that a complete request has arrived on a connection. */
@@ -92,6 +101,19 @@
     ConnectionLimit limit = channel.attr(LIMIT).get();
     if (limit != null) {
       limit.withoutRequest.remove(channel);
+      limit.ended.remove(channel);
+    }
+  }
+
+  /**
+   * Records that no call is in progress on a connection any more. It may be closed for a new one,
+   * so that clients that keep connections cannot lock out others.
+   */
+  public static void callsEnded(Channel channel) {
+    ConnectionLimit limit = channel.attr(LIMIT).get();
+    if (limit != null && channel.isOpen()) {
+      limit.ended.remove(channel);
+      limit.ended.add(channel);
     }
   }
 }
--- a/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
@@ -59,6 +59,25 @@
     assertFalse(first.isOpen(), "no request has come in time");
   }
 
+  /** Kept connections without a call in progress do not lock out new ones. */
+  @Test
+  public void keptConnectionsLockOutNewOnes() {
+    LimitReports reports = new LimitReports(metrics, log);
+    ConnectionLimit limit =
+        new ConnectionLimit("k", 2, reports, () -> false, () -> Long.MAX_VALUE);
+    EmbeddedChannel busy = new EmbeddedChannel();
+    EmbeddedChannel kept = new EmbeddedChannel();
+    assertTrue(limit.admit(busy) && limit.admit(kept));
+    ConnectionLimit.requestReceived(kept);
+    ConnectionLimit.callsEnded(kept);
+    ConnectionLimit.requestReceived(busy);
+    ConnectionLimit.callsEnded(busy);
+    ConnectionLimit.requestReceived(busy);
+    assertTrue(limit.admit(new EmbeddedChannel()));
+    assertTrue(busy.isOpen() && !kept.isOpen());
+    assertFalse(limit.admit(new EmbeddedChannel()), "a call is in progress or may still come");
+  }
+
   /** Idle connections make room for each of two new ones at once. */
   @Test
   public void onlyOneNewConnectionMakesIdleOnesClose() {
