State that a refused relayed request has not run

Refusals before the start of an exchange had neither an outcome nor a request id, so the other VM took them for the answer of a target. They now state that the request has not run.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -53,6 +53,7 @@
   private boolean responseBroken;
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
+  private @Nullable HttpRequest refusedHead;
   private final IdleTime idleTime;
   private final ConnectionMemory memory;
 
@@ -82,7 +83,7 @@
   /** Refuses the request whose beginning has been read, after those before it. */
   void refuseForMemory() {
     if (refusal == null) {
-      refuseAndClose(Refusal.ofRequestWithoutMemory());
+      refuseAndClose(Refusal.ofRequestWithoutMemory(), null);
     }
   }
 
@@ -100,7 +101,7 @@
         return;
       }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        refuseAndClose(Refusal.ofUnreadable(part.decoderResult().cause()));
+        refuseAndClose(Refusal.ofUnreadable(part.decoderResult().cause()), null);
         return;
       }
       if (message instanceof HttpRequest request) {
@@ -121,7 +122,7 @@
     }
     if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
       request.body().release();
-      refuseAndClose(Refusal.ofTooManyRequests());
+      refuseAndClose(Refusal.ofTooManyRequests(), request.head());
       return;
     }
     waiting.addLast(request);
@@ -160,12 +161,18 @@
     received.body().release();
     closeAfterResponse = true;
     HttpHeaders headers = RetryAfter.headers(context, RetryAfter.SECONDS);
+    setNotRun(headers, received.head());
     sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
   }
 
-  /** Refuses further requests, after the responses to those that have been read. */
-  void refuseAndClose(Refusal next) {
+  /**
+   * Refuses further requests, after the responses to those that have been read.
+   *
+   * @param head head of the refused request, if it has been read
+   */
+  void refuseAndClose(Refusal next, @Nullable HttpRequest head) {
     refusal = next;
+    refusedHead = head;
     startNextRequest();
   }
 
@@ -176,7 +183,24 @@
     }
     context.log().write("unreadable", "status", due.status().code(), "reason", due.reason());
     closeAfterResponse = true;
-    sendResponse(due.status(), due.headers(context), Unpooled.EMPTY_BUFFER);
+    HttpHeaders headers = due.headers(context);
+    setNotRun(headers, refusedHead);
+    sendResponse(due.status(), headers, Unpooled.EMPTY_BUFFER);
+  }
+
+  /** Tells another VM that the request has not run and that this is not a target's answer. */
+  private void setNotRun(HttpHeaders headers, @Nullable HttpRequest head) {
+    if (!context.relayed()) {
+      return;
+    }
+    RelayHeaders.setOutcome(headers, true);
+    if (head != null) {
+      try {
+        context.dialect().setRequestId(headers, context.dialect().readMetadata(head).id());
+      } catch (RuntimeException e) {
+        context.log().write("request id not read", "error", e);
+      }
+    }
   }
 
   /** Sends a complete response and ends the exchange. */
