--- a/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/HttpEndpoint.java
@@ -104,7 +104,8 @@
         new BufferLimit(
             limits.memoryBytes(), (held, max) -> reports.record("api_memory", held, max));
     ConnectionLimit connections =
-        new ConnectionLimit("api_connections", limits.connections(), reports, () -> false, () -> FIRST_CALL_NANOS);
+        new ConnectionLimit(
+            "api_connections", limits.connections(), reports, () -> false, () -> FIRST_CALL_NANOS);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
@@ -49,7 +49,11 @@
    * @param requestNanos time in nanoseconds in which a new connection is not closed for another one
    */
   public ConnectionLimit(
-      String kind, int maxConnections, LimitReports reports, BooleanSupplier closeIdle, LongSupplier requestNanos) {
+      String kind,
+      int maxConnections,
+      LimitReports reports,
+      BooleanSupplier closeIdle,
+      LongSupplier requestNanos) {
     this.requestNanos = requestNanos;
     this.closeIdle = closeIdle;
     this.kind = kind;
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -198,7 +198,12 @@
    */
   public void listen(InetSocketAddress address) {
     ConnectionLimit limit =
-        new ConnectionLimit("connections", clientLimits.connections(), reports, this::closeIdle, this::headerTimeoutNanos);
+        new ConnectionLimit(
+            "connections",
+            clientLimits.connections(),
+            reports,
+            this::closeIdle,
+            this::headerTimeoutNanos);
     serverChannels.add(bind(address, context, limit));
     context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
@@ -217,7 +222,11 @@
   public void listenForPeers(InetSocketAddress address) {
     ConnectionLimit limit =
         new ConnectionLimit(
-            "relay_connections", clientLimits.relayConnections(), reports, this::closeIdle, this::headerTimeoutNanos);
+            "relay_connections",
+            clientLimits.relayConnections(),
+            reports,
+            this::closeIdle,
+            this::headerTimeoutNanos);
     serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
--- a/server/src/test/java/org/clementinesail/server/proxy/BufferLimitTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/BufferLimitTest.java
@@ -67,6 +67,24 @@
     assertFalse(full.reservation().resize(1));
   }
 
+  /** A running response is counted, and not refused, while others hold all the memory. */
+  @Test
+  public void bytesHeldAlreadyAreRefused() {
+    BufferLimit full = new BufferLimit(0);
+    List<Integer> ended = new ArrayList<>();
+    for (int i = 0; i < RESERVE / SMALL; i++) {
+      hold(full, ended, i, SMALL, i == 5);
+    }
+    BufferLimit.Reservation response = full.reservation();
+    response.hold(SMALL);
+    assertEquals(ended, List.of(5));
+    assertEquals(full.reservedBytes(), RESERVE);
+    response.hold(2 * SMALL);
+    assertEquals(full.reservedBytes(), RESERVE + SMALL, "no holder is left to end");
+    response.release();
+    assertEquals(full.reservedBytes(), RESERVE - SMALL);
+  }
+
   private static void hold(
       BufferLimit limit, List<Integer> ended, int number, int bytes, boolean mayBeEnded) {
     BufferLimit.Reservation[] own = new BufferLimit.Reservation[1];
--- a/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
+++ b/server/src/test/java/org/clementinesail/server/proxy/ConnectionLimitTest.java
@@ -63,8 +63,7 @@
   @Test
   public void keptConnectionsLockOutNewOnes() {
     LimitReports reports = new LimitReports(metrics, log);
-    ConnectionLimit limit =
-        new ConnectionLimit("k", 2, reports, () -> false, () -> Long.MAX_VALUE);
+    ConnectionLimit limit = new ConnectionLimit("k", 2, reports, () -> false, () -> Long.MAX_VALUE);
     EmbeddedChannel busy = new EmbeddedChannel();
     EmbeddedChannel kept = new EmbeddedChannel();
     assertTrue(limit.admit(busy) && limit.admit(kept));
