Keep finished responses that are being read

A finished response that was still being sent could be cut off to free memory. Like a running one, it is now ended only if its caller has taken no part of it for 3 s.

--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -72,7 +72,9 @@
 
   /** Returns whether the connection may be closed for what it holds outside of requests. */
   boolean mayBeClosed() {
-    return exchange == null || memory.isUnreadFor(System.nanoTime(), UNREAD_NANOS);
+    return memory.hasUnsent()
+        ? memory.isUnreadFor(System.nanoTime(), UNREAD_NANOS)
+        : exchange == null;
   }
 
   /** Returns whether a request is being processed. */
