--- a/core/src/main/java/org/clementinesail/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/clementinesail/core/admission/AdmissionQueue.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.load.FleetLoad;
 import org.jspecify.annotations.Nullable;
 
@@ -30,20 +29,23 @@
    */
   private static final double LEAST_OF_ALL = 0.4;
 
+  /** Fewer requests that were admitted or refused do not show that a rank is starved. */
+  private static final double LEAST_DECIDED = 2;
+
   /** Part of this VM's requests that get targets for which others wait at other VMs. */
   private static final double HELD_BACK_SHARE = 0.125;
 
-  private static final double LEAST_HELD_BACK_NANOS = TimeUnit.SECONDS.toNanos(1);
-  private static final double MOST_HELD_BACK_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final double LEAST_HELD_BACK_NANOS = 1_000_000_000L;
+  private static final double MOST_HELD_BACK_NANOS = 4_000_000_000L;
 
   /** Window of the served requests in {@link Shares}. */
-  private static final double SHARES_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final double SHARES_NANOS = 10_000_000_000L;
 
   /** Requests tried after one found no target, if they need less room. */
   private static final int MAX_FAILURES = 4;
 
   /** How long a refusal by a target tells that targets which seem to have room have none. */
-  private static final long REFUSAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long REFUSAL_NANOS = 250_000_000L;
 
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -105,13 +107,21 @@
      */
     public void recordFailed(WaitingRequest request) {
       failed.add(request.id());
-      rank = request.rank();
-      size = Math.min(size, request.size());
+      if (rank < 0 || request.rank() < rank) {
+        rank = request.rank();
+        size = request.size();
+      } else if (request.rank() == rank) {
+        size = Math.min(size, request.size());
+      }
     }
 
     private boolean allows(WaitingRequest request) {
-      return failed.isEmpty()
-          || (failed.size() < MAX_FAILURES && request.rank() == rank && request.size() < size);
+      if (failed.isEmpty()) {
+        return true;
+      }
+      // The failure of a less urgent request of a starved rank says nothing of a more urgent one.
+      boolean mayFit = request.rank() < rank || (request.rank() == rank && request.size() < size);
+      return failed.size() < MAX_FAILURES && mayFit && !failed.contains(request.id());
     }
   }
 
@@ -169,7 +179,11 @@
     return !hasStarved(now) && !isHeldBack(request.rank(), load, now);
   }
 
-  /** Returns whether a request waits whose rank is served much less often than all requests. */
+  /**
+   * Returns whether a request waits whose rank is served much less often than all requests.
+   *
+   * @param now current time
+   */
   public boolean hasStarved(long now) {
     for (int rank = 0; rank < RequestRank.COUNT; rank++) {
       if (counts[rank] > 0 && isStarved(rank, now)) {
@@ -314,8 +328,9 @@
       offered += other.offered(now);
       served += other.served(now);
     }
-    double own = shares[rank].offered(now);
-    return own > 0 && shares[rank].served(now) / own < LEAST_OF_ALL * served / offered;
+    // A waiting request has not been denied anything yet, and one or two tell nothing of a rate.
+    double own = shares[rank].offered(now) - counts[rank];
+    return own >= LEAST_DECIDED && shares[rank].served(now) / own < LEAST_OF_ALL * served / offered;
   }
 
   /** Returns whether a rank leaves the targets to more urgent requests at other VMs. */
@@ -329,15 +344,13 @@
     }
     double pause = served == 0 ? MOST_HELD_BACK_NANOS : SHARES_NANOS / served / HELD_BACK_SHARE;
     pause = Math.max(LEAST_HELD_BACK_NANOS, Math.min(MOST_HELD_BACK_NANOS, pause));
-    if (now - admittedAt[rank] >= pause) {
-      return false;
-    }
+    int urgent = 0;
     for (int other = 0; other < rank; other++) {
-      if (load.waiting(service, other) > 0) {
-        return true;
-      }
+      urgent += Math.max(0, load.waiting(service, other) - counts[other]);
     }
-    return false;
+    // A few urgent requests need the targets of a few VMs, not of all for the whole time.
+    double part = Math.min(1, (double) urgent / load.reportingVms());
+    return now - admittedAt[rank] < pause * part;
   }
 
   /**
@@ -352,14 +365,13 @@
     if (waiting.isEmpty() || total.isEmpty()) {
       return OptionalDouble.empty();
     }
+    double place = shares[request.rank()].place(request, now);
     int moreUrgent = 0;
     int before = 1;
     for (WaitingRequest other : waiting.values()) {
       if (other.rank() < request.rank()) {
         moreUrgent++;
-      } else if (other.rank() == request.rank()
-          && other.id() != request.id()
-          && other.deadline() - request.deadline() <= 0) {
+      } else if (other.rank() == request.rank() && precedes(other, request, place, now)) {
         before++;
       }
     }
@@ -371,6 +383,15 @@
     return OptionalDouble.of(Math.min(MAX_WAIT_SECONDS, seconds));
   }
 
+  private boolean precedes(WaitingRequest other, WaitingRequest request, double place, long now) {
+    if (other.id() == request.id()) {
+      return false;
+    }
+    double otherPlace = shares[request.rank()].place(other, now);
+    return otherPlace < place
+        || (otherPlace == place && other.deadline() - request.deadline() <= 0);
+  }
+
   private double partOfRank(WaitingRequest request, long now) {
     double offered = 0;
     for (Shares other : shares) {
--- a/core/src/main/java/org/clementinesail/core/admission/DrainRate.java
+++ b/core/src/main/java/org/clementinesail/core/admission/DrainRate.java
@@ -1,12 +1,11 @@
 package org.clementinesail.core.admission;
 
 import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
 
 /** Rate at which a queue gets targets while requests wait in it. */
 final class DrainRate {
   /** Short enough to follow the loss of targets within the time that callers wait. */
-  private static final double WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final double WINDOW_NANOS = 2_000_000_000L;
 
   /** Fewer requests than this give no rate on which a refusal may rest. */
   private static final double LEAST_COUNT = 4;
--- a/core/src/main/java/org/clementinesail/core/admission/FullTargets.java
+++ b/core/src/main/java/org/clementinesail/core/admission/FullTargets.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Targets that have refused a request for want of room and have ended none of this VM since. Under
@@ -16,10 +15,10 @@
  */
 public final class FullTargets {
   /** Other VMs' requests end at the target, too, which this VM does not see. */
-  private static final long FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long FULL_NANOS = 250_000_000L;
 
   /** Pause between two attempts at a service all of whose targets are full. */
-  private static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long PROBE_INTERVAL_NANOS = 50_000_000L;
 
   private final Map<String, Long> refusedAt = new HashMap<>();
   private final Map<String, Long> probedAt = new HashMap<>();
--- a/core/src/main/java/org/clementinesail/core/admission/Shares.java
+++ b/core/src/main/java/org/clementinesail/core/admission/Shares.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * How many of the recent requests of a rank, and of each workspace, route and subject within it,
@@ -15,7 +14,7 @@
  */
 final class Shares {
   /** Long enough to see some requests of each small workspace on one of many VMs. */
-  private static final double WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final double WINDOW_NANOS = 10_000_000_000L;
 
   /** Least part of the rank's served part; with that of ranks, 0.4, it gives over a quarter. */
   private static final double LEAST_OF_RANK = 0.7;
--- a/core/src/main/java/org/clementinesail/core/admission/WaitLimit.java
+++ b/core/src/main/java/org/clementinesail/core/admission/WaitLimit.java
@@ -1,14 +1,15 @@
 package org.clementinesail.core.admission;
 
-import java.util.concurrent.TimeUnit;
 
 /** How long a request may wait for a target. */
 public final class WaitLimit {
   /** Covers the time in which a target ends a short request or an engine reports room. */
-  private static final long LEAST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long LEAST_NANOS = 250_000_000L;
 
   /** Callers abandon a stream without an event after 2 s; the target needs time for the first. */
-  private static final long MOST_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long MOST_NANOS = 1_000_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Part of a route's timeout that may pass before a target works on the request. */
   private static final int TIMEOUT_DIVISOR = 4;
@@ -26,7 +27,7 @@
   public static long waitUntil(
       long targetLatencyMillis, long timeoutMillis, long startedAt, long deadline) {
     long millis = Math.min(targetLatencyMillis, timeoutMillis / TIMEOUT_DIVISOR);
-    long nanos = Math.min(TimeUnit.MILLISECONDS.toNanos(millis), MOST_NANOS);
+    long nanos = Math.min(millis, MOST_NANOS / NANOS_PER_MILLI) * NANOS_PER_MILLI;
     long until = startedAt + Math.max(nanos, LEAST_NANOS);
     return deadline - until < 0 ? deadline : until;
   }
--- a/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
+++ b/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
@@ -197,7 +197,7 @@
 
   /**
    * Returns the shortest time within which an answer of a service has its full value, over the
-   * routes that use it, in milliseconds; {@link Long#MAX_VALUE} if no route does.
+   * routes that use it and state one, in milliseconds; {@link Long#MAX_VALUE} if none does.
    *
    * @param service name of the service
    */
@@ -206,6 +206,7 @@
         .flatMap(List::stream)
         .filter(r -> r.splits().stream().anyMatch(s -> s.service().equals(service)))
         .mapToLong(Route::targetLatencyMillis)
+        .filter(millis -> millis > 0)
         .min()
         .orElse(Long.MAX_VALUE);
   }
--- a/core/src/main/java/org/clementinesail/core/load/FleetLoad.java
+++ b/core/src/main/java/org/clementinesail/core/load/FleetLoad.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The load of all VMs together at one moment. Immutable.
@@ -15,7 +14,7 @@
   public static final FleetLoad NONE = new FleetLoad(0, 0, Map.of(), Map.of(), Map.of());
 
   /** Two seconds are eight summaries: several may be lost before the VM falls back on its own. */
-  private static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long VALID_NANOS = 2_000_000_000L;
 
   private final long observedAt;
   private final int reportingVms;
--- a/core/src/main/java/org/clementinesail/core/load/LoadMerge.java
+++ b/core/src/main/java/org/clementinesail/core/load/LoadMerge.java
@@ -3,18 +3,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /** Sums up the loads of all VMs, on the control VM that leads. Not thread-safe. */
 public final class LoadMerge {
   /** VMs with load report at least every second: two reports may be lost. */
-  private static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final long VALID_NANOS = 3_000_000_000L;
 
   /**
    * VMs that got no summary for a second report to all control VMs within the next one. Until they
    * have done so, a sum would be too small, which is worse than none.
    */
-  private static final long SETTLING_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long SETTLING_NANOS = 2_000_000_000L;
 
   private record Received(LoadReport report, long at) {}
 
--- a/core/src/main/java/org/clementinesail/core/load/LoadReporter.java
+++ b/core/src/main/java/org/clementinesail/core/load/LoadReporter.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Decides when an entry VM has to report its load, and turns summaries into its view. Not
@@ -16,10 +15,10 @@
  * <p>A VM without load says so once and is then silent: a site without requests sends no reports.
  */
 public final class LoadReporter {
-  private static final long MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long MAX_SILENCE_NANOS = 1_000_000_000L;
 
   /** Time without a summary after which the leader may be another one: four are missing. */
-  private static final long LEADER_VALID_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long LEADER_VALID_NANOS = 1_000_000_000L;
 
   /** Time constant of the moving averages in nanoseconds: four summaries. */
   private static final double AVERAGING_NANOS = 1e9;
@@ -92,7 +91,12 @@
             });
   }
 
-  /** A view, and the values of the summary that are out of range and do not count. */
+  /**
+   * A view of the load of all VMs.
+   *
+   * @param load the view
+   * @param rejected values of the summary that are out of range and do not count
+   */
   public record View(FleetLoad load, List<LoadBounds.Rejected> rejected) {}
 
   /**
--- a/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/locality/LocalityPlanner.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.locality.ServiceFigures.DataCentre;
 
 /**
@@ -15,7 +14,7 @@
  */
 public final class LocalityPlanner {
   /** Figures older than this count as missing; the same as for the load of all VMs. */
-  private static final long VALID_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long VALID_NANOS = 2_000_000_000L;
 
   /** Smallest change of a share that is applied; random arrivals change figures by more. */
   private static final double MIN_BAND = 0.02;
@@ -29,6 +28,8 @@
    */
   static final double RESERVE = 0.5;
 
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   /** Shares below this come from rounding. */
   private static final double ROUNDING = 1e-6;
 
@@ -171,7 +172,7 @@
         return false;
       }
       Links.Link link = links.link(from, to);
-      double callMillis = figures.callSeconds() * TimeUnit.SECONDS.toMillis(1);
+      double callMillis = figures.callSeconds() * MILLIS_PER_SECOND;
       return link.usable() && callMillis + link.delayMillis() <= figures.remainingMillis();
     }
 
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -15,7 +15,6 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.EngineModel.Accelerator;
-import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.targets.LayerRange;
@@ -61,15 +60,9 @@
    */
   private static final double MAX_SELECTED_FACTOR = 2;
 
-  /** A token waits on average for half of the pass in progress at an engine, then for its own. */
-  private static final double PASSES_PER_STEP = 1.5;
-
   /** The time of each engine is multiplied by a random factor from 1 to 1 plus this value. */
   private static final double RANDOM_SPREAD = 0.15;
 
-  /** Prompt prefills that each request waiting at an engine adds to the engine's time. */
-  private static final double PREFILLS_PER_WAITING_REQUEST = 1.0;
-
   private final LocalLoad localLoad;
   private final LinkLoad linkLoad;
   private final LinkHealth linkHealth;
@@ -87,7 +80,13 @@
    */
   public record Requirements(
       int promptTokens, int answerTokens, String dataCentre, boolean byShare) {
-    /** Creates requirements without a data centre that the shares select. */
+    /**
+     * Creates requirements without a data centre that the shares select.
+     *
+     * @param promptTokens number of prompt tokens
+     * @param answerTokens expected number of answer tokens
+     * @param dataCentre data centre of this VM
+     */
     public Requirements(int promptTokens, int answerTokens, String dataCentre) {
       this(promptTokens, answerTokens, dataCentre, false);
     }
@@ -263,30 +262,11 @@
     if (!admission.test(engine, layers)) {
       return Optional.empty();
     }
-    EngineReport report = engine.freshReport(now).orElse(null);
-    double unreported = sent.unreported(engine);
-    double running = sent.running(engine);
-    double waiting = report == null ? 0 : report.waiting();
-    double slowdown = report == null ? 1 : Math.max(1, report.slowdown());
-    double contextThousands =
-        running * (requirements.promptTokens() + requirements.answerTokens()) / 1_000.0;
-    double stepMillis =
-        kind.stepFactor()
-            * (model.stepMillis()
-                + model.perRequestMillis() * running
-                + model.contextMillisPerThousandTokens() * contextThousands);
-    double prefillMillis =
-        kind.prefillFactor()
-            * requirements.promptTokens()
-            / model.prefillTokensPerSecond()
-            * MILLIS_PER_SECOND;
-    double totalMillis =
-        requirements.answerTokens() * stepMillis * PASSES_PER_STEP
-            + prefillMillis * (1 + PREFILLS_PER_WAITING_REQUEST * waiting + unreported);
+    double millis = EngineTime.millis(model, kind, engine, requirements, sent, now);
     double randomFactor = 1 + RANDOM_SPREAD * random.nextDouble();
     return Optional.of(
         new Candidate(
-            engine, layers, totalMillis * slowdown * randomFactor / model.layers(), mayBeFirst));
+            engine, layers, millis * randomFactor / model.layers(), mayBeFirst));
   }
 
   private Optional<PartialPath> cheapestPath(
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -141,6 +141,7 @@
         || context.routing().retryBudget(chosen.name()).tryAcquireRetry()) {
       send(choice, chosen.engine(), newConnection);
     } else {
+      ticket.takeBack(System.nanoTime());
       failures.retryLater(route, "the retry budget is used up", RetryAfter.SECONDS);
     }
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
@@ -34,6 +34,9 @@
   /** Delay of a request to another data centre; the same as in the planning of paths. */
   private static final double LINK_DELAY_MILLIS = 30;
 
+  /** A single call that a caller reads slowly must not look like a loss of capacity. */
+  private static final double MAX_CALL_FACTOR = 4;
+
   /** Part of a new value in the moving averages of call times and crossings. */
   private static final double NEW_VALUE_WEIGHT = 0.05;
 
@@ -85,7 +88,9 @@
 
   /** Records the time of a call that a server answered, in nanoseconds. */
   void recordCall(String service, long nanos) {
-    average(callSeconds, service, nanos / NANOS_PER_SECOND);
+    double seconds = nanos / NANOS_PER_SECOND;
+    double mean = callSeconds.getOrDefault(service, seconds);
+    average(callSeconds, service, Math.min(seconds, MAX_CALL_FACTOR * mean));
   }
 
   /** Records the path of a request, for the mean number of crossings. */
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -414,7 +414,9 @@
     avoided.addAll(excluded);
     Optional<String> selected = drawDataCentre(service, 0, now);
     List<String> ids = ready.stream().map(member -> member.statement().id()).toList();
-    Set<String> full = admission.fullTargets().among(ids, now);
+    // While none waits, a refusal may be that of one target, and the next request tells.
+    boolean overloaded = admission.queue(service.name()).length() > 0;
+    Set<String> full = overloaded ? admission.fullTargets().among(ids, now) : Set.of();
     if (!full.isEmpty()) {
       Set<String> withFull = new HashSet<>(avoided);
       withFull.addAll(full);
