--- a/core/src/main/java/org/clementinesail/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/clementinesail/core/admission/AdmissionQueue.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import org.clementinesail.core.load.FleetLoad;
 import org.jspecify.annotations.Nullable;
 
@@ -41,9 +39,6 @@
   /** Window of the served requests in {@link Shares}. */
   private static final double SHARES_NANOS = 10_000_000_000L;
 
-  /** Requests tried after one found no target, if they need less room. */
-  private static final int MAX_FAILURES = 4;
-
   /** How long a refusal by a target tells that targets which seem to have room have none. */
   private static final long REFUSAL_NANOS = 250_000_000L;
 
@@ -78,53 +73,6 @@
    */
   public record Refused(String reason) implements Offer {}
 
-  /** One look at the queue, which ends when a request finds no target. */
-  public static final class Pass {
-    private final Set<Long> failed = new HashSet<>();
-    private final int ended;
-    private int left;
-    private int rank = -1;
-    private long size = Long.MAX_VALUE;
-
-    /**
-     * Begins a look at the queue.
-     *
-     * @param ended requests of this VM that targets have ended since the last one
-     */
-    public Pass(int ended) {
-      this.ended = ended;
-    }
-
-    /** Records that a request waits no more. */
-    public void recordLeft() {
-      left++;
-    }
-
-    /**
-     * Records that a request found no target.
-     *
-     * @param request the request, which goes on waiting
-     */
-    public void recordFailed(WaitingRequest request) {
-      failed.add(request.id());
-      if (rank < 0 || request.rank() < rank) {
-        rank = request.rank();
-        size = request.size();
-      } else if (request.rank() == rank) {
-        size = Math.min(size, request.size());
-      }
-    }
-
-    private boolean allows(WaitingRequest request) {
-      if (failed.isEmpty()) {
-        return true;
-      }
-      // The failure of a less urgent request of a starved rank says nothing of a more urgent one.
-      boolean mayFit = request.rank() < rank || (request.rank() == rank && request.size() < size);
-      return failed.size() < MAX_FAILURES && mayFit && !failed.contains(request.id());
-    }
-  }
-
   /**
    * Creates an empty queue.
    *
@@ -281,9 +229,9 @@
    * @param load load of all VMs together
    * @param now current time
    */
-  public Optional<WaitingRequest> next(Pass pass, FleetLoad load, long now) {
+  public Optional<WaitingRequest> next(QueuePass pass, FleetLoad load, long now) {
     boolean targetsFull = returned && now - returnedAt <= REFUSAL_NANOS;
-    if (targetsFull && pass.left >= Math.max(1, pass.ended)) {
+    if (targetsFull && !pass.mayRelease()) {
       return Optional.empty();
     }
     List<Integer> ranks = new ArrayList<>();
@@ -303,7 +251,7 @@
     return Optional.empty();
   }
 
-  private Optional<WaitingRequest> firstOf(int rank, Pass pass, long now) {
+  private Optional<WaitingRequest> firstOf(int rank, QueuePass pass, long now) {
     WaitingRequest best = null;
     double bestPlace = 0;
     for (WaitingRequest request : waiting.values()) {
--- a/core/src/main/java/org/clementinesail/core/admission/WaitLimit.java
+++ b/core/src/main/java/org/clementinesail/core/admission/WaitLimit.java
@@ -1,6 +1,5 @@
 package org.clementinesail.core.admission;
 
-
 /** How long a request may wait for a target. */
 public final class WaitLimit {
   /** Covers the time in which a target ends a short request or an engine reports room. */
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -265,8 +265,7 @@
     double millis = EngineTime.millis(model, kind, engine, requirements, sent, now);
     double randomFactor = 1 + RANDOM_SPREAD * random.nextDouble();
     return Optional.of(
-        new Candidate(
-            engine, layers, millis * randomFactor / model.layers(), mayBeFirst));
+        new Candidate(engine, layers, millis * randomFactor / model.layers(), mayBeFirst));
   }
 
   private Optional<PartialPath> cheapestPath(
--- a/core/src/test/java/org/clementinesail/core/admission/AdmissionLoadTest.java
+++ b/core/src/test/java/org/clementinesail/core/admission/AdmissionLoadTest.java
@@ -87,7 +87,7 @@
         }
       }
       if (ordered) {
-        AdmissionQueue.Pass pass = new AdmissionQueue.Pass(0);
+        QueuePass pass = new QueuePass(0);
         Optional<WaitingRequest> next = queue.next(pass, FleetLoad.NONE, now);
         while (next.isPresent() && ends.size() < SLOTS) {
           queue.remove(next.get(), now);
--- a/core/src/test/java/org/clementinesail/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/clementinesail/core/admission/AdmissionQueueTest.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.admission.AdmissionQueue.Accepted;
-import org.clementinesail.core.admission.AdmissionQueue.Pass;
 import org.clementinesail.core.admission.AdmissionQueue.Refused;
 import org.clementinesail.core.desired.Route;
 import org.clementinesail.core.desired.Workspace;
@@ -37,7 +36,7 @@
   }
 
   private Optional<Long> next(FleetLoad load, long now) {
-    return queue.next(new Pass(0), load, now).map(WaitingRequest::id);
+    return queue.next(new QueuePass(0), load, now).map(WaitingRequest::id);
   }
 
   private static FleetLoad urgentElsewhere(long observedAt) {
@@ -132,7 +131,7 @@
   public void afterARefusalOneRequestIsTriedForEachThatEnds() {
     queue.offer(request(1, 1, 900), 0);
     queue.recordReturned(request(9, 1, 900), false, 0);
-    Pass pass = new Pass(0);
+    QueuePass pass = new QueuePass(0);
     assertTrue(queue.next(pass, FleetLoad.NONE, 0).isPresent());
     pass.recordLeft();
     assertFalse(queue.next(pass, FleetLoad.NONE, 0).isPresent());
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.clementinesail.core.admission.RequestRank;
 import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.StatementRenewals;
@@ -24,10 +23,8 @@
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.ratelimits.Permits;
 import org.clementinesail.core.ratelimits.RateLimit;
-import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
-import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetUpdateReader;
 import org.clementinesail.server.fleet.HttpEndpoint;
 import org.clementinesail.server.logging.DecisionLog;
@@ -97,7 +94,7 @@
   private static final long MAX_LATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final NodeSettings settings;
-  private final ControlDialect controlDialect;
+  private final DesiredStates desiredStates;
   private final DecisionLog log;
   private final FleetUpdateReader updateReader;
   private final MultiThreadIoEventLoopGroup group =
@@ -134,7 +131,6 @@
       ControlDialect controlDialect,
       DecisionLog log) {
     this.settings = settings;
-    this.controlDialect = controlDialect;
     this.log = log;
     this.updateReader = new FleetUpdateReader(log);
     RoutingState.Settings routingSettings =
@@ -145,6 +141,7 @@
             settings.retryAllowance());
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
     this.renewals = new StatementRenewals(routing.fleet());
+    this.desiredStates = new DesiredStates(routing, controlDialect, log);
     StartupWait startupWait = new StartupWait(System.nanoTime());
     this.proxy =
         new ProxyServer(
@@ -295,7 +292,7 @@
       if (frame.hasFleet()) {
         applyFleetUpdate(vm, frame.getFleet());
       } else if (frame.hasDesired()) {
-        applyDesired(vm, StateCodec.decode(frame.getDesired()));
+        desiredStates.receive(vm, StateCodec.decode(frame.getDesired()));
       } else if (frame.hasPartCrashes()) {
         proxy.crashReports().receive(CrashCodec.decode(frame.getPartCrashes(), System.nanoTime()));
       } else if (frame.hasRateLimits()) {
@@ -396,30 +393,4 @@
           TimeUnit.NANOSECONDS.toMillis(now - receivedAt));
     }
   }
-
-  private void applyDesired(String vm, DesiredDocument document) {
-    long currentVersion = routing.desiredState().map(DesiredState::version).orElse(0L);
-    if (document.version() <= currentVersion) {
-      return;
-    }
-    DesiredState.CheckResult checked =
-        controlDialect.checkDesired(DocumentCompression.decompress(document));
-    if (checked instanceof DesiredState.Valid valid && routing.desiredState(valid.state())) {
-      log.write("desired state in force", "version", document.version(), "from", vm);
-      logOddPriorities(valid.state());
-    } else if (checked instanceof DesiredState.Invalid invalid) {
-      log.write(
-          "accepted desired state is invalid",
-          "version",
-          document.version(),
-          "reason",
-          invalid.reason());
-    }
-  }
-
-  private void logOddPriorities(DesiredState state) {
-    for (var odd : RequestRank.oddPriorities(state.routes(), state.workspaces())) {
-      log.write("priority is no rank from 0 to 9", "field", odd.field(), "value", odd.value());
-    }
-  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/AdmissionQueues.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AdmissionQueues.java
@@ -1,16 +1,21 @@
 package org.clementinesail.server.proxy;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
+import java.util.function.BiFunction;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.clementinesail.core.admission.AdmissionQueue;
 import org.clementinesail.core.admission.FullTargets;
+import org.clementinesail.core.admission.QueuePass;
 import org.clementinesail.core.admission.WaitingRequest;
+import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.load.FleetLoad;
 import org.jspecify.annotations.Nullable;
 
@@ -53,6 +58,33 @@
     return counts;
   }
 
+  /**
+   * Picks a server by a rule, preferably one that is not known to refuse for want of room. If all
+   * are, none is picked, except for a probe now and then.
+   *
+   * @param pick picks one of the servers, without those of the given ids
+   */
+  Optional<Fleet.Member> pickWithRoom(
+      String service,
+      List<Fleet.Member> ready,
+      Set<String> avoided,
+      long now,
+      BiFunction<List<Fleet.Member>, Set<String>, Optional<Fleet.Member>> pick) {
+    List<String> ids = ready.stream().map(member -> member.statement().id()).toList();
+    // While none waits, a refusal may be that of one target, and the next request tells.
+    boolean overloaded = queue(service).length() > 0;
+    Set<String> full = overloaded ? fullTargets.among(ids, now) : Set.of();
+    if (!full.isEmpty()) {
+      Set<String> withFull = new HashSet<>(avoided);
+      withFull.addAll(full);
+      Optional<Fleet.Member> free = pick.apply(ready, withFull);
+      if (free.isPresent() || !fullTargets.mayProbe(service, now)) {
+        return free;
+      }
+    }
+    return pick.apply(ready, avoided);
+  }
+
   long nextId() {
     return ++lastId;
   }
@@ -119,7 +151,7 @@
     String service = queue.service();
     // Another VM that gets a request has its own view of the more urgent ones.
     FleetLoad view = cutOff.test(service) ? FleetLoad.NONE : load.get();
-    AdmissionQueue.Pass pass = new AdmissionQueue.Pass(ended.getOrDefault(service, 0));
+    QueuePass pass = new QueuePass(ended.getOrDefault(service, 0));
     Optional<WaitingRequest> next = queue.next(pass, view, now);
     while (next.isPresent()) {
       WaitingRequest request = next.get();
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -66,7 +66,7 @@
   Attempt(
       Exchange exchange,
       ProxyContext context,
-      RoutingState.Destination destination,
+      Destination destination,
       @Nullable Route route,
       @Nullable EngineModel model) {
     this.exchange = exchange;
@@ -320,10 +320,7 @@
   }
 
   private void complete(HttpResponse response) {
-    // Refusals and errors may take no time at all.
-    if (peer == null && model == null && response.status().code() < 400) {
-      context.routing().locality().recordCall(target.service(), System.nanoTime() - sentAt);
-    }
+    context.routing().locality().recordCall(this, response.status().code());
     switch (mode) {
       case REFUSED -> {
         finish();
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -118,7 +118,7 @@
   }
 
   /** Records a target that cannot be reached; a VM that has frozen may go on with the request. */
-  void recordIfDead(Attempt from, RoutingState.Destination next, Set<String> suspects) {
+  void recordIfDead(Attempt from, Destination next, Set<String> suspects) {
     String target = from.target().id();
     if (from.peer() == null && (next.peer() != null || suspects.contains(target))) {
       counts.recordDeadTarget(target);
--- a/server/src/main/java/org/clementinesail/server/proxy/BufferLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/BufferLimit.java
@@ -87,7 +87,11 @@
     return new Reservation(null);
   }
 
-  /** Returns a reservation of 0 bytes whose holder may be ended to make room for small ones. */
+  /**
+   * Returns a reservation of 0 bytes whose holder may be ended to make room for small ones.
+   *
+   * @param holder holder of the bytes
+   */
   public Reservation reservation(Holder holder) {
     return new Reservation(holder);
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -39,9 +39,6 @@
   /** Time in which the event loop reads what has already arrived on a connection. */
   private static final long READ_BEFORE_CLOSE_MS = 5;
 
-  /** A caller that has taken no part of a response for this long does not read it. */
-  private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
-
   private final ProxyContext context;
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
@@ -53,7 +50,6 @@
   private boolean responseBroken;
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
-  private @Nullable HttpRequest refusedHead;
   private final IdleTime idleTime;
   private final ConnectionMemory memory;
 
@@ -72,9 +68,7 @@
 
   /** Returns whether the connection may be closed for what it holds outside of requests. */
   boolean mayBeClosed() {
-    return memory.hasUnsent()
-        ? memory.isUnreadFor(System.nanoTime(), UNREAD_NANOS)
-        : exchange == null;
+    return memory.hasUnsent() ? memory.isUnread(System.nanoTime()) : exchange == null;
   }
 
   /** Returns whether a request is being processed. */
@@ -85,7 +79,7 @@
   /** Refuses the request whose beginning has been read, after those before it. */
   void refuseForMemory() {
     if (refusal == null) {
-      refuseAndClose(Refusal.ofRequestWithoutMemory(), null);
+      refuseAndClose(Refusal.ofRequestWithoutMemory());
     }
   }
 
@@ -103,7 +97,7 @@
         return;
       }
       if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
-        refuseAndClose(Refusal.ofUnreadable(part.decoderResult().cause()), null);
+        refuseAndClose(Refusal.ofUnreadable(part.decoderResult().cause()));
         return;
       }
       if (message instanceof HttpRequest request) {
@@ -119,12 +113,10 @@
 
   /** Processes a complete request after those before it. */
   void received(ReceivedRequest request) {
-    if (channel != null) {
-      ConnectionLimit.requestReceived(channel);
-    }
+    ConnectionLimit.requestReceived(channel);
     if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
       request.body().release();
-      refuseAndClose(Refusal.ofTooManyRequests(), request.head());
+      refuseAndClose(Refusal.ofTooManyRequests().of(request.head()));
       return;
     }
     waiting.addLast(request);
@@ -162,19 +154,13 @@
     context.log().write("internal error", "error", error);
     received.body().release();
     closeAfterResponse = true;
-    HttpHeaders headers = RetryAfter.headers(context, RetryAfter.SECONDS);
-    setNotRun(headers, received.head());
-    sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+    Refusal refused = Refusal.ofInternalError().of(received.head());
+    sendResponse(refused.status(), refused.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
-  /**
-   * Refuses further requests, after the responses to those that have been read.
-   *
-   * @param head head of the refused request, if it has been read
-   */
-  void refuseAndClose(Refusal next, @Nullable HttpRequest head) {
+  /** Refuses further requests, after the responses to those that have been read. */
+  void refuseAndClose(Refusal next) {
     refusal = next;
-    refusedHead = head;
     startNextRequest();
   }
 
@@ -185,24 +171,7 @@
     }
     context.log().write("unreadable", "status", due.status().code(), "reason", due.reason());
     closeAfterResponse = true;
-    HttpHeaders headers = due.headers(context);
-    setNotRun(headers, refusedHead);
-    sendResponse(due.status(), headers, Unpooled.EMPTY_BUFFER);
-  }
-
-  /** Tells another VM that the request has not run and that this is not a target's answer. */
-  private void setNotRun(HttpHeaders headers, @Nullable HttpRequest head) {
-    if (!context.relayed()) {
-      return;
-    }
-    RelayHeaders.setOutcome(headers, true);
-    if (head != null) {
-      try {
-        context.dialect().setRequestId(headers, context.dialect().readMetadata(head).id());
-      } catch (RuntimeException e) {
-        context.log().write("request id not read", "error", e);
-      }
-    }
+    sendResponse(due.status(), due.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
   /** Sends a complete response and ends the exchange. */
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionLimit.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Limits the connections to one port, so that those to targets, other VMs and control VMs find
@@ -64,6 +65,7 @@
   /**
    * Counts a new connection until it is closed.
    *
+   * @param channel the connection
    * @return false if the connection was closed as there are too many
    */
   public boolean admit(Channel channel) {
@@ -100,9 +102,13 @@
     return ended.isEmpty() ? added : ended.iterator().next();
   }
 
-  /** Records that a complete request has arrived on a connection. */
-  public static void requestReceived(Channel channel) {
-    ConnectionLimit limit = channel.attr(LIMIT).get();
+  /**
+   * Records that a complete request has arrived on a connection.
+   *
+   * @param channel the connection, or null if it is not known yet
+   */
+  public static void requestReceived(@Nullable Channel channel) {
+    ConnectionLimit limit = channel == null ? null : channel.attr(LIMIT).get();
     if (limit != null) {
       limit.withoutRequest.remove(channel);
       limit.ended.remove(channel);
@@ -112,6 +118,8 @@
   /**
    * Records that no call is in progress on a connection any more. It may be closed for a new one,
    * so that clients that keep connections cannot lock out others.
+   *
+   * @param channel the connection
    */
   public static void callsEnded(Channel channel) {
     ConnectionLimit limit = channel.attr(LIMIT).get();
--- a/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ConnectionMemory.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -12,6 +13,9 @@
  * decoder, and responses that the caller does not read. Stands before the decoder.
  */
 final class ConnectionMemory extends ChannelInboundHandlerAdapter implements BufferLimit.Holder {
+  /** Longer than a sound caller pauses, and short beside the idle timeout. */
+  private static final long UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private final BufferLimit.Reservation reservation;
   private final CallerConnection connection;
   private int undecodedBytes;
@@ -74,6 +78,11 @@
     return unsentWrites > 0;
   }
 
+  /** Returns whether the caller does not read a response, as it has taken no part of it lately. */
+  boolean isUnread(long now) {
+    return isUnreadFor(now, UNREAD_NANOS);
+  }
+
   /** Returns whether the caller has taken no part of a response for longer than the given time. */
   boolean isUnreadFor(long now, long nanos) {
     return hasUnsent() && now - writtenAt > nanos;
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -48,7 +48,7 @@
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
   private boolean awaitingState;
-  private boolean checkFailed;
+  private final StepGuard steps;
   private boolean finished;
 
   Exchange(
@@ -73,6 +73,13 @@
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures =
         new AttemptFailures(this, context, counts, excludedTargets, partGuard, chooser, log);
+    this.steps =
+        new StepGuard(
+            log,
+            this::giveUpUnsent,
+            () -> fail(HttpResponseStatus.BAD_GATEWAY, "internal error"),
+            () -> caller.abortIfCurrent(this),
+            () -> finish(FAILED));
   }
 
   /** Starts the request, or tries again to start it while no desired state is known. */
@@ -135,8 +142,7 @@
     }
   }
 
-  private void sendWithinBudget(
-      RoutingState.Destination choice, Service chosen, boolean newConnection) {
+  private void sendWithinBudget(Destination choice, Service chosen, boolean newConnection) {
     if (!counts.mayHaveArrived()
         || context.routing().retryBudget(chosen.name()).tryAcquireRetry()) {
       send(choice, chosen.engine(), newConnection);
@@ -146,8 +152,7 @@
     }
   }
 
-  private void send(
-      RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
+  private void send(Destination choice, @Nullable EngineModel model, boolean newConnection) {
     ForwardingInfo info =
         ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId(), ticket.rank());
     FullHttpRequest request =
@@ -223,7 +228,7 @@
     }
     long now = System.nanoTime();
     String id = from.target().id();
-    Optional<RoutingState.Destination> again = chooser.chooseAgain(chosen, from, now);
+    Optional<Destination> again = chooser.chooseAgain(chosen, from, now);
     if (again.isEmpty() || partGuard.refusedSeconds(now).isPresent()) {
       return false;
     }
@@ -344,44 +349,17 @@
 
   /** Runs a step of the request; an exception ends the request instead of leaving it open. */
   void guard(Runnable step) {
-    try {
-      step.run();
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-      endAfterError();
-    }
+    steps.run(step);
   }
 
   /** Runs a periodic check; an exception ends the request unless a target is at work on it. */
   void guardCheck(Runnable check) {
-    try {
-      check.run();
-    } catch (RuntimeException e) {
-      if (attempt == null || !checkFailed) {
-        log.stepFailed(e);
-      }
-      checkFailed = true;
-      if (attempt == null) {
-        endAfterError();
-      }
-    }
+    steps.check(check, () -> attempt != null);
   }
 
-  private void endAfterError() {
-    try {
-      if (counts.sentCount() == 0) {
-        giveUp("internal error");
-      }
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-    }
-    try {
-      fail(HttpResponseStatus.BAD_GATEWAY, "internal error");
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-    } finally {
-      caller.abortIfCurrent(this);
-      finish(FAILED);
+  private void giveUpUnsent() {
+    if (counts.sentCount() == 0) {
+      giveUp("internal error");
     }
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ExchangeLog.java
@@ -23,7 +23,7 @@
   }
 
   /** Logs that a request is sent to another VM; a target is logged only if something goes wrong. */
-  void sentTo(RoutingState.Destination destination) {
+  void sentTo(Destination destination) {
     PeerVm peer = destination.peer();
     if (peer != null) {
       log.write(
--- a/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ForwardingInfo.java
@@ -25,7 +25,7 @@
 
   /** Returns the values for a destination; the deadline is a {@link System#nanoTime}. */
   static ForwardingInfo of(
-      RoutingState.Destination destination,
+      Destination destination,
       @Nullable String workspace,
       long deadline,
       @Nullable String lastEventId,
--- a/server/src/main/java/org/clementinesail/server/proxy/HeadSize.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/HeadSize.java
@@ -13,7 +13,11 @@
 
   private HeadSize() {}
 
-  /** Returns the estimated size of a head in bytes. */
+  /**
+   * Returns the estimated size of a head in bytes.
+   *
+   * @param head the head
+   */
   public static int of(HttpRequest head) {
     int bytes = REQUEST_BYTES + head.uri().length();
     for (Map.Entry<String, String> header : head.headers()) {
--- a/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
@@ -34,6 +34,8 @@
   /** Delay of a request to another data centre; the same as in the planning of paths. */
   private static final double LINK_DELAY_MILLIS = 30;
 
+  private static final int FIRST_ERROR_STATUS = 400;
+
   /** A single call that a caller reads slowly must not look like a loss of capacity. */
   private static final double MAX_CALL_FACTOR = 4;
 
@@ -86,9 +88,14 @@
     listener = next;
   }
 
-  /** Records the time of a call that a server answered, in nanoseconds. */
-  void recordCall(String service, long nanos) {
-    double seconds = nanos / NANOS_PER_SECOND;
+  /** Records an attempt that has been answered now, if it was a call that a server has served. */
+  void recordCall(Attempt attempt, int status) {
+    // Refusals and errors may take no time at all.
+    if (attempt.peer() != null || !attempt.path().isEmpty() || status >= FIRST_ERROR_STATUS) {
+      return;
+    }
+    String service = attempt.target().service();
+    double seconds = (System.nanoTime() - attempt.sentAt()) / NANOS_PER_SECOND;
     double mean = callSeconds.getOrDefault(service, seconds);
     average(callSeconds, service, Math.min(seconds, MAX_CALL_FACTOR * mean));
   }
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -110,20 +110,20 @@
   }
 
   /** Returns another VM as the destination of a request, or empty if none is left. */
-  Optional<RoutingState.Destination> choose(Service service, Set<String> excluded, long now) {
+  Optional<Destination> choose(Service service, Set<String> excluded, long now) {
     return peers.pick(excluded, now).map(peer -> destination(service, peer, now));
   }
 
   /**
    * Returns a VM that has had a request as the destination of it, or empty if it is to be avoided.
    */
-  Optional<RoutingState.Destination> chooseAgain(Service service, PeerVm peer, long now) {
+  Optional<Destination> chooseAgain(Service service, PeerVm peer, long now) {
     return peers.isAvailable(peer, now)
         ? Optional.of(destination(service, peer, now))
         : Optional.empty();
   }
 
-  private static RoutingState.Destination destination(Service service, PeerVm peer, long now) {
+  private static Destination destination(Service service, PeerVm peer, long now) {
     TargetStatement statement =
         new TargetStatement(
             peer.targetId(),
@@ -137,7 +137,7 @@
             0,
             0);
     Fleet.Member member = new Fleet.Member(statement, now, null, now - 1, 0);
-    return new RoutingState.Destination(member, List.of(), peer);
+    return new Destination(member, List.of(), peer);
   }
 
   /** Records that a VM could not serve a request; does nothing for a target. */
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -2,14 +2,10 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -18,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.clementinesail.core.desired.RequestLimits;
 import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
@@ -51,11 +46,6 @@
 
   private static final long MIN_IDLE_CLOSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-  private static final int MAX_REQUEST_LINE_BYTES = 16_384;
-
-  /** Room for the headers that another VM adds to a request that its caller's port has accepted. */
-  private static final int MAX_ADDED_HEADER_BYTES = 1_024;
-
   /** Bytes queued for a caller above which reading from its target pauses. */
   private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
       new WriteBufferWaterMark(32 * 1_024, 64 * 1_024);
@@ -240,30 +230,11 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
         .childHandler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                if (!limit.admit(channel)) {
-                  return;
-                }
-                int added = requestContext.relayed() ? MAX_ADDED_HEADER_BYTES : 0;
-                int head = RequestLimits.DEFAULT.maxHeaderBytes() + added;
-                HttpDecoderConfig config =
-                    new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                        .setMaxHeaderSize(head)
-                        .setValidateHeaders(false);
-                CallerConnection connection =
-                    new CallerConnection(requestContext, ProxyServer.this);
-                channel.pipeline().addLast(connection.memory());
-                channel.pipeline().addLast(new HttpServerCodec(config));
-                channel.pipeline().addLast(new RequestHeadCheck());
-                if (requestContext.relayed()) {
-                  channel.pipeline().addLast(new SignOfLife(ProxyServer.this::reachesTargets));
-                }
-                channel.pipeline().addLast(connection);
-              }
-            })
+            new CallerChannels(
+                requestContext,
+                limit,
+                this::reachesTargets,
+                () -> new CallerConnection(requestContext, this)))
         .bind(address)
         .syncUninterruptibly()
         .channel();
--- a/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Refusal.java
@@ -1,17 +1,33 @@
 package org.clementinesail.server.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Answer to bytes of a caller that are no request that can be processed; ends the connection.
  *
  * @param status status of the response
  * @param reason description for the log
+ * @param head head of the refused request, or null if it has not been read
  */
-record Refusal(HttpResponseStatus status, String reason) {
+record Refusal(HttpResponseStatus status, String reason, @Nullable HttpRequest head) {
+  Refusal(HttpResponseStatus status, String reason) {
+    this(status, reason, null);
+  }
+
+  /** Returns this refusal for a request whose head has been read. */
+  Refusal of(@Nullable HttpRequest request) {
+    return new Refusal(status, reason, request);
+  }
+
+  /** Returns the refusal of a request that an error in this VM keeps from being processed. */
+  static Refusal ofInternalError() {
+    return new Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "internal error");
+  }
 
   /** Returns the refusal of bytes that the HTTP decoder could not read. */
   static Refusal ofUnreadable(Throwable cause) {
@@ -36,9 +52,26 @@
 
   /** Returns the headers of the response. */
   HttpHeaders headers(ProxyContext context) {
-    return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        ? RetryAfter.headers(context, RetryAfter.SECONDS)
-        : HeaderCopies.empty();
+    HttpHeaders headers =
+        status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            ? RetryAfter.headers(context, RetryAfter.SECONDS)
+            : HeaderCopies.empty();
+    if (context.relayed()) {
+      setNotRun(context, headers);
+    }
+    return headers;
+  }
+
+  /** Tells another VM that the request has not run and that this is not a target's answer. */
+  private void setNotRun(ProxyContext context, HttpHeaders headers) {
+    RelayHeaders.setOutcome(headers, true);
+    if (head != null) {
+      try {
+        context.dialect().setRequestId(headers, context.dialect().readMetadata(head).id());
+      } catch (RuntimeException e) {
+        context.log().write("request id not read", "error", e);
+      }
+    }
   }
 
   /** Returns the refusal of a body of which nothing more comes. */
--- a/server/src/main/java/org/clementinesail/server/proxy/RequestReader.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RequestReader.java
@@ -89,7 +89,7 @@
   /** Refuses the request that arrives, and ends the connection. */
   void refuse(Refusal reason) {
     body.release();
-    connection.refuseAndClose(reason, head);
+    connection.refuseAndClose(reason.of(head));
   }
 
   /** Releases what has arrived of a request. */
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -27,7 +27,6 @@
 import org.clementinesail.core.paths.ServerPicker;
 import org.clementinesail.core.ratelimits.DemandMeter;
 import org.clementinesail.core.ratelimits.SendPermissions;
-import org.clementinesail.core.reachability.PeerVm;
 import org.jspecify.annotations.Nullable;
 
 /** Desired state, fleet and this VM's load, by which it routes. Confined to the event loop. */
@@ -48,15 +47,11 @@
   /** Longest time over which the callers that are refused at once are spread at their return. */
   private static final double MAX_SPREAD_SECONDS = 2.5;
 
-  /** Shortest and longest delay of a caller whose request exceeds the limits of the targets. */
-  private static final double MIN_LIMITED_SECONDS = 0.5;
-
-  private static final double MAX_LIMITED_SECONDS = 10;
-
   private final Settings settings;
   private final Fleet fleet;
   private final SendPermissions permissions;
   private final DemandMeter demand = new DemandMeter();
+  private final TargetPermits permits;
   private final LocalLoad ownLoad = new LocalLoad();
   private final LinkLoad crossDataCentreLoad = new LinkLoad();
   private final LinkHealth linkHealth = new LinkHealth();
@@ -82,6 +77,7 @@
     this.random = random;
     this.fleet = new Fleet(settings.leaseNanos());
     this.permissions = new SendPermissions(random);
+    this.permits = new TargetPermits(permissions, demand);
     this.pathPlanner =
         new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, this::fleetLoad, random);
     this.serverPicker = new ServerPicker(ownLoad, this::fleetLoad, random);
@@ -247,11 +243,7 @@
         desiredState(), service, fleet, fleetLoad, vmsThatSend(), promptTokens, now);
   }
 
-  /**
-   * Returns why {@link #chooseDestination} finds no target.
-   *
-   * @return a short description for the log; empty for a service without engines
-   */
+  /** Returns for the log why no target is found; empty for a service without engines. */
   String describeGaps(Service service, RequestMetadata metadata, Set<String> excluded, long now) {
     EngineModel model = service.engine();
     if (model == null) {
@@ -274,20 +266,6 @@
         estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
   }
 
-  /**
-   * The target of a request.
-   *
-   * @param firstTarget target that the request is sent to
-   * @param path engines that the request passes through; empty for a service without engines
-   * @param peer VM that chooses the target in place of this one, or null if this one does; then it
-   *     stands for the target
-   */
-  record Destination(Fleet.Member firstTarget, List<Hop> path, @Nullable PeerVm peer) {
-    Destination(Fleet.Member firstTarget, List<Hop> path) {
-      this(firstTarget, path, null);
-    }
-  }
-
   /** Returns the target for a request, or empty if none is available. */
   Optional<Destination> chooseDestination(
       Service service, RequestMetadata metadata, Set<String> excluded, long now) {
@@ -329,7 +307,8 @@
    */
   OptionalDouble deferralSeconds(Service service, RequestMetadata metadata, long now) {
     OptionalLong until = fleet.deferredUntil(service.name(), now);
-    OptionalDouble limited = limitedSeconds(service.name(), now);
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
+    OptionalDouble limited = permits.limitedSeconds(service.name(), ready, trafficVms, now);
     boolean deferred = until.isPresent() || limited.isPresent();
     if (!deferred || chooseDestination(service, metadata, Set.of(), now).isPresent()) {
       return OptionalDouble.empty();
@@ -339,34 +318,8 @@
     return OptionalDouble.of(Math.min(seconds, limited.orElse(Double.MAX_VALUE)));
   }
 
-  /**
-   * Returns how many seconds the limited targets of a service need for what arrives in a second;
-   * empty unless some of them have reached their limits.
-   */
-  private OptionalDouble limitedSeconds(String service, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
-    if (withoutPermit(ready, now).isEmpty()) {
-      return OptionalDouble.empty();
-    }
-    double perSecond =
-        ready.stream()
-            .mapToDouble(m -> permissions.limitPerSecond(m.statement()).orElse(0.0))
-            .sum();
-    double seconds = demand.perSecond(service, now) * trafficVms / perSecond;
-    return OptionalDouble.of(Math.max(MIN_LIMITED_SECONDS, Math.min(MAX_LIMITED_SECONDS, seconds)));
-  }
-
-  /** Returns the targets that have reached their limits, as far as this VM may send to them. */
   private Set<String> withoutPermit(List<Fleet.Member> ready, long now) {
-    Set<String> without = new HashSet<>();
-    if (permissions.hasLimits()) {
-      for (Fleet.Member member : ready) {
-        if (!permissions.maySend(member.statement(), trafficVms, now)) {
-          without.add(member.statement().id());
-        }
-      }
-    }
-    return without;
+    return permits.exhausted(ready, trafficVms, now);
   }
 
   /** Returns the permissions to send to targets that limit their rate. */
@@ -413,26 +366,15 @@
     Set<String> avoided = withoutPermit(ready, now);
     avoided.addAll(excluded);
     Optional<String> selected = drawDataCentre(service, 0, now);
-    List<String> ids = ready.stream().map(member -> member.statement().id()).toList();
-    // While none waits, a refusal may be that of one target, and the next request tells.
-    boolean overloaded = admission.queue(service.name()).length() > 0;
-    Set<String> full = overloaded ? admission.fullTargets().among(ids, now) : Set.of();
-    if (!full.isEmpty()) {
-      Set<String> withFull = new HashSet<>(avoided);
-      withFull.addAll(full);
-      Optional<Fleet.Member> free = pickServer(ready, withFull, selected, now);
-      if (free.isPresent() || !admission.fullTargets().mayProbe(service.name(), now)) {
-        return free;
-      }
-    }
-    return pickServer(ready, avoided, selected, now);
-  }
-
-  private Optional<Fleet.Member> pickServer(
-      List<Fleet.Member> ready, Set<String> avoided, Optional<String> selected, long now) {
-    return selected.isPresent()
-        ? serverPicker.pickByShare(ready, avoided, selected.get(), now)
-        : serverPicker.pick(ready, avoided, settings.dataCentre(), now);
+    return admission.pickWithRoom(
+        service.name(),
+        ready,
+        avoided,
+        now,
+        (servers, without) ->
+            selected.isPresent()
+                ? serverPicker.pickByShare(servers, without, selected.get(), now)
+                : serverPicker.pick(servers, without, settings.dataCentre(), now));
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetChooser.java
@@ -19,7 +19,7 @@
   sealed interface Decision {}
 
   /** The request is sent to a destination. */
-  record Send(RoutingState.Destination destination) implements Decision {}
+  record Send(Destination destination) implements Decision {}
 
   /** The request waits for a target. */
   record Await() implements Decision {}
@@ -74,8 +74,7 @@
       return new GiveUp("this VM is cut off from the service too", RetryAfter.STOP_SECONDS);
     }
     boolean turn = begun || ticket.mayTry(now) || skipsQueue(service, now);
-    Optional<RoutingState.Destination> choice =
-        turn ? chooseDestination(service, now) : Optional.empty();
+    Optional<Destination> choice = turn ? chooseDestination(service, now) : Optional.empty();
     return choice.isPresent() ? new Send(choice.get()) : withoutDestination(service, begun, now);
   }
 
@@ -85,11 +84,11 @@
         || context.routing().deferralSeconds(service, metadata, now).isPresent();
   }
 
-  private Optional<RoutingState.Destination> chooseDestination(Service service, long now) {
+  private Optional<Destination> chooseDestination(Service service, long now) {
     if (isCutOff(service)) {
       return choosePeer(service, now);
     }
-    Optional<RoutingState.Destination> peer =
+    Optional<Destination> peer =
         !context.relayed() && context.peers().isBetter(counts)
             ? choosePeer(service, now)
             : Optional.empty();
@@ -100,18 +99,18 @@
     return !context.relayed() && context.peers().isCutOff(service);
   }
 
-  private Optional<RoutingState.Destination> choosePeer(Service service, long now) {
+  private Optional<Destination> choosePeer(Service service, long now) {
     return context.peers().choose(service, excludedTargets, now);
   }
 
-  private Optional<RoutingState.Destination> chooseTarget(Service service, long now) {
+  private Optional<Destination> chooseTarget(Service service, long now) {
     var target = context.routing().chooseDestination(service, metadata, excludedTargets, now);
     boolean peerMayHelp = !context.relayed() && context.peers().mayHelp(service, now);
     return target.isEmpty() && peerMayHelp ? choosePeer(service, now) : target;
   }
 
   /** Returns where an attempt was sent, target or other VM, or empty if that takes none now. */
-  Optional<RoutingState.Destination> chooseAgain(Service service, Attempt from, long now) {
+  Optional<Destination> chooseAgain(Service service, Attempt from, long now) {
     PeerVm peer = from.peer();
     return peer == null
         ? context.routing().sameDestination(service.name(), from.target().id(), from.path(), now)
@@ -119,7 +118,7 @@
   }
 
   /** Takes a retry from the budget if there is one and a destination; returns the destination. */
-  Optional<RoutingState.Destination> acquireRetry(Service service, long now) {
+  Optional<Destination> acquireRetry(Service service, long now) {
     return context.routing().acquireRetry(service, () -> chooseDestination(service, now));
   }
 
--- a/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/TargetRequest.java
@@ -19,7 +19,7 @@
    */
   static FullHttpRequest of(
       ProxyContext context,
-      RoutingState.Destination destination,
+      Destination destination,
       HttpRequest head,
       ByteBuf body,
       ForwardingInfo forwarding,
