--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -228,7 +228,7 @@
             .map(
                 selected ->
                     new PathPlanner.Requirements(
-                        estimate.promptTokens(), estimate.answerTokens(), selected))
+                        estimate.promptTokens(), estimate.answerTokens(), selected, true))
             .orElseGet(() -> requirements(estimate));
     return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
   }
