--- a/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
+++ b/core/src/main/java/org/clementinesail/core/desired/DesiredState.java
@@ -171,6 +171,16 @@
     return List.copyOf(services.values());
   }
 
+  /** Returns all routes in no particular order. */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns all workspaces that have a key, in no particular order. */
+  public List<Workspace> workspaces() {
+    return workspacesByKey.values().stream().distinct().toList();
+  }
+
   /** Returns the names of all services. */
   public Set<String> serviceNames() {
     return Set.copyOf(services.keySet());
@@ -184,4 +194,20 @@
   public Optional<Workspace> workspaceByKey(String key) {
     return Optional.ofNullable(workspacesByKey.get(key));
   }
+
+  /**
+   * Returns the shortest time within which an answer of a service has its full value, over the
+   * routes that use it and state one, in milliseconds; {@link Long#MAX_VALUE} if none does.
+   *
+   * @param service name of the service
+   */
+  public long shortestTargetLatencyMillis(String service) {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(r -> r.splits().stream().anyMatch(s -> s.service().equals(service)))
+        .mapToLong(Route::targetLatencyMillis)
+        .filter(millis -> millis > 0)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
 }
--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -10,11 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.EngineModel.Accelerator;
-import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.targets.LayerRange;
 import org.jspecify.annotations.Nullable;
 
@@ -22,11 +24,11 @@
  * Plans the engines that a request passes through: the path over layer boundaries with the least
  * expected time, among engines with enough memory for the request.
  *
- * <p>Several VMs may send steady or bursty load at the same time, and all see the same engine
- * reports. Therefore the requests that this VM has sent since a report are multiplied by the number
- * of VMs, and a small random factor keeps the VMs from all choosing the same engine. Only if no
- * path has memory by that estimate, the steady one decides, so that no request is refused for load
- * that may not exist.
+ * <p>All VMs see the same engine reports. What the others have sent since follows from the load of
+ * all VMs; if that is not known, the requests that this VM has sent are multiplied by the number of
+ * VMs. A small random factor keeps the VMs from all choosing the same engine. Only if no path has
+ * memory by that estimate, the steady one decides, so that no request is refused for load that may
+ * not exist.
  */
 public final class PathPlanner {
   private static final double MILLIS_PER_SECOND = 1_000;
@@ -51,18 +53,20 @@
    */
   private static final double REMOTE_START_MILLIS = 30;
 
-  /** A token waits on average for half of the pass in progress at an engine, then for its own. */
-  private static final double PASSES_PER_STEP = 1.5;
+  /**
+   * A path within the data centre that the shares select is used unless it takes this many times as
+   * long as the best one. Random factors and small differences in load stay below; a much slower or
+   * overloaded data centre does not.
+   */
+  private static final double MAX_SELECTED_FACTOR = 2;
 
   /** The time of each engine is multiplied by a random factor from 1 to 1 plus this value. */
   private static final double RANDOM_SPREAD = 0.15;
 
-  /** Prompt prefills that each request waiting at an engine adds to the engine's time. */
-  private static final double PREFILLS_PER_WAITING_REQUEST = 1.0;
-
   private final LocalLoad localLoad;
   private final LinkLoad linkLoad;
   private final LinkHealth linkHealth;
+  private final Supplier<FleetLoad> fleetLoad;
   private final RandomGenerator random;
 
   /**
@@ -70,19 +74,28 @@
    *
    * @param promptTokens number of prompt tokens
    * @param answerTokens expected number of answer tokens
-   * @param dataCentre data centre of this VM, in which the path preferably starts
+   * @param dataCentre data centre in which the path preferably starts: the one that the shares
+   *     select, or that of this VM
+   * @param byShare whether the shares select the data centre
    */
-  public record Requirements(int promptTokens, int answerTokens, String dataCentre) {}
+  public record Requirements(
+      int promptTokens, int answerTokens, String dataCentre, boolean byShare) {
+    /**
+     * Creates requirements without a data centre that the shares select.
+     *
+     * @param promptTokens number of prompt tokens
+     * @param answerTokens expected number of answer tokens
+     * @param dataCentre data centre of this VM
+     */
+    public Requirements(int promptTokens, int answerTokens, String dataCentre) {
+      this(promptTokens, answerTokens, dataCentre, false);
+    }
+  }
 
   /** An engine with memory for the request, and its expected time per layer for the request. */
   private record Candidate(
       Fleet.Member member, LayerRange layers, double millisPerLayer, boolean mayBeFirst) {}
 
-  /** Decides whether an engine has memory for the request. */
-  private interface Admission {
-    boolean admits(Fleet.Member engine, LayerRange layers);
-  }
-
   /**
    * The cheapest path found so far that ends at a layer boundary, in one data centre.
    *
@@ -103,9 +116,28 @@
    */
   public PathPlanner(
       LocalLoad localLoad, LinkLoad linkLoad, LinkHealth linkHealth, RandomGenerator random) {
+    this(localLoad, linkLoad, linkHealth, () -> FleetLoad.NONE, random);
+  }
+
+  /**
+   * Creates a planner.
+   *
+   * @param localLoad requests of this VM at each target
+   * @param linkLoad utilization of the link between data centres
+   * @param linkHealth health of the links to other data centres
+   * @param fleetLoad supplies the last known load of all VMs
+   * @param random source of the random factors
+   */
+  public PathPlanner(
+      LocalLoad localLoad,
+      LinkLoad linkLoad,
+      LinkHealth linkHealth,
+      Supplier<FleetLoad> fleetLoad,
+      RandomGenerator random) {
     this.localLoad = localLoad;
     this.linkLoad = linkLoad;
     this.linkHealth = linkHealth;
+    this.fleetLoad = fleetLoad;
     this.random = random;
   }
 
@@ -130,43 +162,55 @@
       Set<String> notFirst,
       int vms,
       long now) {
-    EngineMemory memory = new EngineMemory(model, localLoad, vms, now);
+    SentLoad sent = new SentLoad(localLoad, fleetLoad.get(), vms, now);
+    EngineMemory memory = new EngineMemory(model, localLoad, sent, now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
-    Admission cautious = (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
+    BiPredicate<Fleet.Member, LayerRange> cautious =
+        (engine, layers) -> memory.cautious(engine, layers, tokens).fits();
     List<Fleet.Member> usable =
         engines.stream()
             .filter(engine -> !excluded.contains(engine.statement().id()))
             .filter(engine -> !engine.isSuspect(now))
             .toList();
-    Optional<List<Hop>> path = plan(model, usable, cautious, requirements, notFirst, vms, now);
+    Optional<List<Hop>> path = plan(model, usable, cautious, requirements, notFirst, sent, now);
     if (path.isPresent()) {
       return path;
     }
-    Admission steady = (engine, layers) -> memory.steady(engine, layers, tokens).fits();
-    return plan(model, usable, steady, requirements, notFirst, vms, now);
+    BiPredicate<Fleet.Member, LayerRange> steady =
+        (engine, layers) -> memory.steady(engine, layers, tokens).fits();
+    return plan(model, usable, steady, requirements, notFirst, sent, now);
   }
 
   private Optional<List<Hop>> plan(
       EngineModel model,
       List<Fleet.Member> engines,
-      Admission admission,
+      BiPredicate<Fleet.Member, LayerRange> admission,
       Requirements requirements,
       Set<String> notFirst,
-      int vms,
+      SentLoad sent,
       long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (Fleet.Member engine : engines) {
       boolean first = !notFirst.contains(engine.statement().id());
-      candidate(model, engine, admission, requirements, first, vms, now).ifPresent(candidates::add);
+      candidate(model, engine, admission, requirements, first, sent, now)
+          .ifPresent(candidates::add);
     }
-    double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), vms, now);
+    double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), sent.vms(), now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
-    return cheapestPath(
-        model,
-        candidates,
-        starts,
-        requirements,
-        remoteHopMillis(model, requirements, linkUtilization));
+    double hopMillis = remoteHopMillis(model, requirements, linkUtilization);
+    Optional<PartialPath> best = cheapestPath(model, candidates, starts, requirements, hopMillis);
+    if (!requirements.byShare() || best.isEmpty()) {
+      return best.map(PathPlanner::hops);
+    }
+    List<Candidate> selected =
+        candidates.stream()
+            .filter(c -> c.member().statement().dataCentre().equals(requirements.dataCentre()))
+            .toList();
+    double limit = best.get().millis() * MAX_SELECTED_FACTOR;
+    return cheapestPath(model, selected, starts, requirements, hopMillis)
+        .filter(path -> path.millis() <= limit)
+        .or(() -> best)
+        .map(PathPlanner::hops);
   }
 
   /**
@@ -189,7 +233,8 @@
       Set<String> excluded,
       Set<String> notFirst,
       long now) {
-    EngineMemory memory = new EngineMemory(model, localLoad, 1, now);
+    EngineMemory memory =
+        new EngineMemory(model, localLoad, new SentLoad(localLoad, fleetLoad.get(), 1, now), now);
     int tokens = requirements.promptTokens() + requirements.answerTokens();
     PathGaps gaps = new PathGaps(model.layers(), now, ready, excluded, notFirst);
     for (Fleet.Member member : known) {
@@ -204,48 +249,26 @@
   private Optional<Candidate> candidate(
       EngineModel model,
       Fleet.Member engine,
-      Admission admission,
+      BiPredicate<Fleet.Member, LayerRange> admission,
       Requirements requirements,
       boolean mayBeFirst,
-      int vms,
+      SentLoad sent,
       long now) {
     LayerRange layers = engine.layers();
-    String id = engine.statement().id();
     Accelerator kind = model.accelerator(engine.statement().accelerator()).orElse(null);
     if (layers == null || layers.to() > model.layers() || kind == null) {
       return Optional.empty();
     }
-    if (!admission.admits(engine, layers)) {
+    if (!admission.test(engine, layers)) {
       return Optional.empty();
     }
-    EngineReport report = engine.freshReport(now).orElse(null);
-    double unreported = (double) localLoad.unreportedRequests(id) * vms;
-    double running =
-        report == null ? (double) localLoad.requestCount(id) * vms : report.running() + unreported;
-    double waiting = report == null ? 0 : report.waiting();
-    double slowdown = report == null ? 1 : Math.max(1, report.slowdown());
-    double contextThousands =
-        running * (requirements.promptTokens() + requirements.answerTokens()) / 1_000.0;
-    double stepMillis =
-        kind.stepFactor()
-            * (model.stepMillis()
-                + model.perRequestMillis() * running
-                + model.contextMillisPerThousandTokens() * contextThousands);
-    double prefillMillis =
-        kind.prefillFactor()
-            * requirements.promptTokens()
-            / model.prefillTokensPerSecond()
-            * MILLIS_PER_SECOND;
-    double totalMillis =
-        requirements.answerTokens() * stepMillis * PASSES_PER_STEP
-            + prefillMillis * (1 + PREFILLS_PER_WAITING_REQUEST * waiting + unreported);
+    double millis = EngineTime.millis(model, kind, engine, requirements, sent, now);
     double randomFactor = 1 + RANDOM_SPREAD * random.nextDouble();
     return Optional.of(
-        new Candidate(
-            engine, layers, totalMillis * slowdown * randomFactor / model.layers(), mayBeFirst));
+        new Candidate(engine, layers, millis * randomFactor / model.layers(), mayBeFirst));
   }
 
-  private Optional<List<Hop>> cheapestPath(
+  private Optional<PartialPath> cheapestPath(
       EngineModel model,
       List<Candidate> candidates,
       Map<String, PartialPath> starts,
@@ -273,8 +296,7 @@
     Map<String, PartialPath> ends = best.getOrDefault(model.layers(), Map.of());
     return ends.values().stream()
         .min((a, b) -> Double.compare(a.millis(), b.millis()))
-        .map(PathPlanner::hops)
-        .filter(PathPlanner::hasDistinctTargets);
+        .filter(path -> hasDistinctTargets(hops(path)));
   }
 
   /**
@@ -287,7 +309,8 @@
     for (Candidate candidate : candidates) {
       String dataCentre = candidate.member().statement().dataCentre();
       boolean local = dataCentre.equals(requirements.dataCentre());
-      double millis = local ? 0 : REMOTE_START_MILLIS + linkHealth.penaltyMillis(dataCentre, now);
+      // The selected data centre may be remote; the link of the own one has no penalty.
+      double millis = (local ? 0 : REMOTE_START_MILLIS) + linkHealth.penaltyMillis(dataCentre, now);
       starts.put(dataCentre, new PartialPath(millis, null, null));
     }
     return starts;
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -15,21 +15,22 @@
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.crashes.CrashRecord;
 import org.clementinesail.core.desired.DesiredState;
+import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.LagDetector;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.ratelimits.Permits;
 import org.clementinesail.core.ratelimits.RateLimit;
-import org.clementinesail.core.state.DesiredDocument;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.server.fleet.ControlDialect;
-import org.clementinesail.server.fleet.DocumentCompression;
 import org.clementinesail.server.fleet.FleetUpdateReader;
 import org.clementinesail.server.fleet.HttpEndpoint;
 import org.clementinesail.server.logging.DecisionLog;
 import org.clementinesail.server.proxy.Dialect;
 import org.clementinesail.server.proxy.EngineDialect;
+import org.clementinesail.server.proxy.LoadReports;
 import org.clementinesail.server.proxy.ProxyMetrics;
 import org.clementinesail.server.proxy.ProxyServer;
 import org.clementinesail.server.proxy.RateLimitReports;
@@ -56,6 +57,10 @@
  */
 public final class EntryNode implements Node {
   private static final int MAX_READINESS_BODY_BYTES = 4_096;
+
+  /** Part of the descriptors and memory that the process needs itself. */
+  private static final ClientLimits READINESS_LIMITS = new ClientLimits(1_048_576, 32, 0, 0);
+
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
 
@@ -73,7 +78,11 @@
   /** How long a caller's connection must be idle before a stopping VM closes it. */
   private static final long STOP_MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-  private static final long LAG_CHECK_INTERVAL_MS = 50;
+  /**
+   * Half of {@link #TOLERATED_TIMER_GAP_NANOS}. At a longer interval the regular gap counts as late
+   * sooner; a shorter one only wakes an idle process more often.
+   */
+  private static final long LAG_CHECK_INTERVAL_MS = 100;
 
   /** Time after the start in which lag does not count: classes are still being loaded. */
   private static final long LAG_CHECK_DELAY_MS = 5_000;
@@ -85,15 +94,17 @@
   private static final long MAX_LATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final NodeSettings settings;
-  private final ControlDialect controlDialect;
+  private final DesiredStates desiredStates;
   private final DecisionLog log;
   private final FleetUpdateReader updateReader;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) group.next();
   private final RoutingState routing;
+  private final StatementRenewals renewals;
   private final ProxyMetrics metrics = new ProxyMetrics();
   private final ProxyServer proxy;
+  private final LoadReports loadReports;
   private final PeerNetwork network;
   private final Subscriptions subscriptions;
   private final LagDetector lag = new LagDetector(TOLERATED_TIMER_GAP_NANOS, MAX_LATE_NANOS);
@@ -120,7 +131,6 @@
       ControlDialect controlDialect,
       DecisionLog log) {
     this.settings = settings;
-    this.controlDialect = controlDialect;
     this.log = log;
     this.updateReader = new FleetUpdateReader(log);
     RoutingState.Settings routingSettings =
@@ -130,8 +140,21 @@
             settings.retryRatio(),
             settings.retryAllowance());
     this.routing = new RoutingState(routingSettings, RandomGenerator.getDefault());
+    this.renewals = new StatementRenewals(routing.fleet());
+    this.desiredStates = new DesiredStates(routing, controlDialect, log);
     StartupWait startupWait = new StartupWait(System.nanoTime());
-    this.proxy = new ProxyServer(loop, dialect, engineDialect, routing, startupWait, metrics, log);
+    this.proxy =
+        new ProxyServer(
+            loop,
+            dialect,
+            engineDialect,
+            routing,
+            startupWait,
+            settings.clientLimits(),
+            metrics,
+            log);
+    this.loadReports = new LoadReports(loop, routing, metrics, log);
+    loadReports.waiting(routing.admission()::waitingByRank);
     this.network =
         PeerNetwork.byAddress(
             settings.name(),
@@ -170,6 +193,7 @@
             new RateLimitReports.Sender(
                 limits -> sendToControlVms(RateLimitCodec.encode(limits, System.nanoTime())),
                 this::sendDemand));
+    loadReports.start(network::send, this::sendToControlVms);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("checking the lag", this::checkLag),
         LAG_CHECK_DELAY_MS,
@@ -185,7 +209,8 @@
     proxy.peers().checks().start(loop, subscriptions::reportReachability);
     InetSocketAddress ready = settings.readyAddress();
     if (ready != null) {
-      HttpEndpoint.listen(loop, ready, MAX_READINESS_BODY_BYTES, log, this::answerStatusRequest);
+      HttpEndpoint.listen(
+          loop, ready, MAX_READINESS_BODY_BYTES, log, READINESS_LIMITS, this::answerStatusRequest);
     }
     log.write("started", "data_centre", settings.dataCentre(), "seeds", settings.seeds());
   }
@@ -265,9 +290,9 @@
     @Override
     public void received(String vm, Frame frame) {
       if (frame.hasFleet()) {
-        applyFleetUpdate(frame.getFleet());
+        applyFleetUpdate(vm, frame.getFleet());
       } else if (frame.hasDesired()) {
-        applyDesired(vm, StateCodec.decode(frame.getDesired()));
+        desiredStates.receive(vm, StateCodec.decode(frame.getDesired()));
       } else if (frame.hasPartCrashes()) {
         proxy.crashReports().receive(CrashCodec.decode(frame.getPartCrashes(), System.nanoTime()));
       } else if (frame.hasRateLimits()) {
@@ -276,6 +301,8 @@
             .receive(RateLimitCodec.decode(frame.getRateLimits(), System.nanoTime()));
       } else if (frame.hasPeerVms()) {
         proxy.peers().peers(PeerVmCodec.decode(frame.getPeerVms()));
+      } else if (frame.hasLoadSummary()) {
+        loadReports.receive(vm, frame.getLoadSummary());
       } else if (frame.hasPermitGrants()) {
         leader = vm;
         proxy.rateLimitReports().receiveGrants(RateLimitCodec.decode(frame.getPermitGrants()));
@@ -328,9 +355,9 @@
     network.peers().forEach(vm -> network.send(vm, frame));
   }
 
-  private void applyFleetUpdate(FleetUpdate update) {
+  private void applyFleetUpdate(String vm, FleetUpdate update) {
     long now = System.nanoTime();
-    if (update.getStatementsCount() > 0) {
+    if (FleetUpdateReader.hasStatements(update)) {
       routing.fleet().recordContact(now);
     }
     // An engine that a control VM could not reach is avoided for 1.8 s, longer than the time
@@ -341,6 +368,9 @@
         now,
         (statement, receivedAt) -> applyStatement(statement, receivedAt, now),
         report -> routing.recordReport(report, suspectUntil));
+    if (!updateReader.readRenewals(update, now, renewals)) {
+      subscriptions.requestUnknownStatements(vm, now);
+    }
     if (update.getTrafficVms() > 0) {
       routing.trafficVms(update.getTrafficVms());
       routing.sendingVms(update.getSendingVms());
@@ -350,6 +380,7 @@
 
   private void applyStatement(TargetStatement statement, long receivedAt, long now) {
     if (routing.fleet().recordStatement(statement, receivedAt)) {
+      routing.admission().wake();
       log.write(
           "target",
           "target",
@@ -362,23 +393,4 @@
           TimeUnit.NANOSECONDS.toMillis(now - receivedAt));
     }
   }
-
-  private void applyDesired(String vm, DesiredDocument document) {
-    long currentVersion = routing.desiredState().map(DesiredState::version).orElse(0L);
-    if (document.version() <= currentVersion) {
-      return;
-    }
-    DesiredState.CheckResult checked =
-        controlDialect.checkDesired(DocumentCompression.decompress(document));
-    if (checked instanceof DesiredState.Valid valid && routing.desiredState(valid.state())) {
-      log.write("desired state in force", "version", document.version(), "from", vm);
-    } else if (checked instanceof DesiredState.Invalid invalid) {
-      log.write(
-          "accepted desired state is invalid",
-          "version",
-          document.version(),
-          "reason",
-          invalid.reason());
-    }
-  }
 }
--- a/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Attempt.java
@@ -66,7 +66,7 @@
   Attempt(
       Exchange exchange,
       ProxyContext context,
-      RoutingState.Destination destination,
+      Destination destination,
       @Nullable Route route,
       @Nullable EngineModel model) {
     this.exchange = exchange;
@@ -160,6 +160,9 @@
   private void finish() {
     finished = true;
     assignments.forEach(a -> context.routing().ownLoad().release(a, System.nanoTime()));
+    if (head != null && mode != ResponseMode.REFUSED) {
+      context.routing().admission().requestEnded(target.service(), target.id());
+    }
     context.peers().recordEnd(peer);
     reservation.release();
     if (buffer != null) {
@@ -317,6 +320,7 @@
   }
 
   private void complete(HttpResponse response) {
+    context.routing().locality().recordCall(this, response.status().code());
     switch (mode) {
       case REFUSED -> {
         finish();
--- a/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/AttemptFailures.java
@@ -49,16 +49,29 @@
     if (faulty.isEmpty() || from.path().isEmpty()) {
       excludedTargets.add(from.target().id());
     }
+    if (from.peer() == null && from.path().isEmpty() && isForWantOfRoom(response)) {
+      context
+          .routing()
+          .admission()
+          .fullTargets()
+          .recordRefused(from.target().id(), System.nanoTime());
+    }
     log.refusedByTarget(from.target().id(), response.status().code(), faulty.orElse(""));
     boolean otherGoesOn = exchange.otherGoesOn(from, false);
     OptionalDouble later = RetryAfter.later(context, response);
     if (from.peer() != null && later.isPresent() && !otherGoesOn) {
+      exchange.ticket().takeBack(System.nanoTime());
       retryLater(from.route(), "another VM refused the request", later.getAsDouble());
     } else {
       retryAfterRefusal(from, otherGoesOn, "targets refused the request");
     }
   }
 
+  private static boolean isForWantOfRoom(HttpResponse response) {
+    return response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        || response.status().equals(HttpResponseStatus.TOO_MANY_REQUESTS);
+  }
+
   /** Checks whether this VM still reaches the service after a target has failed. */
   private void checkReachability(Attempt from) {
     if (from.peer() == null) {
@@ -89,6 +102,7 @@
     if (otherGoesOn) {
       return;
     }
+    exchange.ticket().takeBack(System.nanoTime());
     if (counts.refusalLimitReached()) {
       retryLater(from.route(), reason, RetryAfter.SECONDS);
     } else {
@@ -104,7 +118,7 @@
   }
 
   /** Records a target that cannot be reached; a VM that has frozen may go on with the request. */
-  void recordIfDead(Attempt from, RoutingState.Destination next, Set<String> suspects) {
+  void recordIfDead(Attempt from, Destination next, Set<String> suspects) {
     String target = from.target().id();
     if (from.peer() == null && (next.peer() != null || suspects.contains(target))) {
       counts.recordDeadTarget(target);
--- a/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/CallerConnection.java
@@ -29,8 +29,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.clementinesail.core.desired.DesiredState;
-import org.clementinesail.core.desired.RequestLimits;
 import org.jspecify.annotations.Nullable;
 
 /** A connection of a caller; processes its requests one at a time, in order. */
@@ -45,22 +43,44 @@
   private final ProxyServer server;
   private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
   private @Nullable Channel channel;
-  private @Nullable HttpRequest head;
-  private RequestBody body;
+  private final RequestReader reader;
   private @Nullable Exchange exchange;
   private boolean closeAfterResponse;
   private boolean responseBegun;
   private boolean responseBroken;
   private boolean lastResponseSent;
   private @Nullable Refusal refusal;
-  private int unsentWrites;
   private final IdleTime idleTime;
+  private final ConnectionMemory memory;
 
   CallerConnection(ProxyContext context, ProxyServer server) {
     this.context = context;
     this.server = server;
-    this.body = new RequestBody(context.buffers());
     this.idleTime = new IdleTime(context::idleTimeoutMillis);
+    this.reader = new RequestReader(context, this, idleTime);
+    this.memory = new ConnectionMemory(context.buffers(), this);
+  }
+
+  /** Returns the handler that must stand before the decoder. */
+  ConnectionMemory memory() {
+    return memory;
+  }
+
+  /** Returns whether the connection may be closed for what it holds outside of requests. */
+  boolean mayBeClosed() {
+    return memory.hasUnsent() ? memory.isUnread(System.nanoTime()) : exchange == null;
+  }
+
+  /** Returns whether a request is being processed. */
+  boolean hasExchange() {
+    return exchange != null;
+  }
+
+  /** Refuses the request whose beginning has been read, after those before it. */
+  void refuseForMemory() {
+    if (refusal == null) {
+      refuseAndClose(Refusal.ofRequestWithoutMemory());
+    }
   }
 
   @Override
@@ -71,6 +91,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+    memory.decoded();
     try {
       if (lastResponseSent || refusal != null) {
         return;
@@ -80,53 +101,25 @@
         return;
       }
       if (message instanceof HttpRequest request) {
-        begin(handlerContext, request);
+        reader.begin(handlerContext, request);
       }
-      if (message instanceof HttpContent content) {
-        appendBody(content);
+      if (message instanceof HttpContent content && refusal == null) {
+        reader.append(content);
       }
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
-  private void begin(ChannelHandlerContext handlerContext, HttpRequest request) {
-    head = request;
-    if (HttpUtil.is100ContinueExpected(request)) {
-      handlerContext.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-    }
-  }
-
-  private void appendBody(HttpContent content) {
-    HttpRequest request = head;
-    if (request == null) {
-      return;
-    }
-    idleTime.begin();
-    RequestBody.Result result = body.add(content.content(), limits().maxBodyBytes());
-    if (result == RequestBody.Result.TOO_LONG) {
-      refuseBody(Refusal.ofTooLargeBody());
-    } else if (result == RequestBody.Result.NO_MEMORY) {
-      refuseBody(Refusal.ofBodyWithoutMemory());
-    } else if (content instanceof LastHttpContent) {
-      addRequest(request);
-    }
-  }
-
-  private void refuseBody(Refusal reason) {
-    body.release();
-    refuseAndClose(reason);
-  }
-
-  private void addRequest(HttpRequest request) {
-    head = null;
+  /** Processes a complete request after those before it. */
+  void received(ReceivedRequest request) {
+    ConnectionLimit.requestReceived(channel);
     if (waiting.size() >= MAX_PIPELINED_REQUESTS) {
-      refuseBody(Refusal.ofTooManyRequests());
+      request.body().release();
+      refuseAndClose(Refusal.ofTooManyRequests().of(request.head()));
       return;
     }
-    waiting.addLast(new ReceivedRequest(request, body, System.nanoTime()));
-    body = new RequestBody(context.buffers());
+    waiting.addLast(request);
     startNextRequest();
   }
 
@@ -138,6 +131,9 @@
       sendRefusal();
       return;
     }
+    if (!isWritable()) {
+      return; // The caller does not read the responses so far.
+    }
     ReceivedRequest received = waiting.removeFirst();
     closeAfterResponse = !HttpUtil.isKeepAlive(received.head());
     Exchange started;
@@ -158,12 +154,12 @@
     context.log().write("internal error", "error", error);
     received.body().release();
     closeAfterResponse = true;
-    HttpHeaders headers = RetryAfter.headers(context, RetryAfter.SECONDS);
-    sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+    Refusal refused = Refusal.ofInternalError().of(received.head());
+    sendResponse(refused.status(), refused.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
   /** Refuses further requests, after the responses to those that have been read. */
-  private void refuseAndClose(Refusal next) {
+  void refuseAndClose(Refusal next) {
     refusal = next;
     startNextRequest();
   }
@@ -178,10 +174,6 @@
     sendResponse(due.status(), due.headers(context), Unpooled.EMPTY_BUFFER);
   }
 
-  private RequestLimits limits() {
-    return context.routing().desiredState().map(DesiredState::limits).orElse(RequestLimits.DEFAULT);
-  }
-
   /** Sends a complete response and ends the exchange. */
   void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
     Channel open = channel;
@@ -206,6 +198,7 @@
       written.addListener(refusal == null ? ChannelFutureListener.CLOSE : new LingeringClose());
     }
     open.flush();
+    memory.update(open);
     exchangeFinished();
   }
 
@@ -239,6 +232,7 @@
   void flush() {
     if (channel != null) {
       channel.flush();
+      memory.update(channel);
     }
   }
 
@@ -269,13 +263,13 @@
   }
 
   private ChannelFuture write(Channel open, Object message) {
-    unsentWrites++;
+    memory.writeBegun();
     return open.write(message).addListener(this::onWritten);
   }
 
   /** A response that cannot be written has no other end than that of the connection. */
   private void onWritten(Future<? super Void> written) {
-    unsentWrites--;
+    memory.writeEnded(channel);
     if (exchange == null) {
       idleTime.begin();
     }
@@ -347,13 +341,17 @@
   }
 
   private boolean isIdle() {
-    return exchange == null && head == null && waiting.isEmpty() && unsentWrites == 0;
+    return exchange == null && !reader.isReading() && waiting.isEmpty() && !memory.hasUnsent();
   }
 
   /** Ends a connection after the idle timeout that its caller knew when it became idle. */
   void closeIfExpired(long now) {
-    if (idleTime.isOver(now) && head != null && refusal == null) {
-      refuseBody(Refusal.ofStalledBody());
+    boolean reading = reader.isReading() && refusal == null;
+    if (reading && (idleTime.isOver(now) || reader.isLate(now, server))) {
+      reader.refuse(Refusal.ofStalledBody());
+    } else if (memory.isUnreadFor(now, idleTime.limitNanos())) {
+      server.limitReached("unread_response");
+      close();
     } else if (idleTime.isOver(now)) {
       closeIfIdle(now, idleTime.limitNanos());
     }
@@ -370,6 +368,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
     if (exchange != null) {
       exchange.onCallerWritabilityChanged(handlerContext.channel().isWritable());
+    } else if (!waiting.isEmpty()) {
+      context.loop().execute(this::startNextRequest);
     }
   }
 
@@ -377,7 +377,8 @@
   public void channelInactive(ChannelHandlerContext handlerContext) {
     server.connectionClosed(this);
     lastResponseSent = true;
-    body.release();
+    reader.release();
+    memory.release();
     waiting.forEach(received -> received.body().release());
     waiting.clear();
     Exchange open = exchange;
--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -37,6 +37,7 @@
   private final ResponseSender sender;
   private final AttemptFailures failures;
   private final TargetChooser chooser;
+  private final AdmissionTicket ticket;
   private final AttemptCounts counts;
   private final StalledAttempt stalled;
   private final Set<String> excludedTargets = new HashSet<>();
@@ -47,8 +48,7 @@
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
   private boolean awaitingState;
-  private long resolvedAt;
-  private boolean checkFailed;
+  private final StepGuard steps;
   private boolean finished;
 
   Exchange(
@@ -67,10 +67,19 @@
     this.counts = new AttemptCounts(context.relayed() ? RelayHeaders.earlierRuns(head) : 0);
     this.stalled = new StalledAttempt(counts);
     this.partGuard = new PartGuard(context.crashes(), head, body.bytes(), metadata);
-    this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets);
+    this.ticket =
+        new AdmissionTicket(context, metadata, () -> guard(this::tryNextTarget), this::giveUp);
+    this.chooser = new TargetChooser(context, metadata, partGuard, counts, excludedTargets, ticket);
     this.sender = new ResponseSender(context, caller, partGuard, counts, metadata, receivedAt);
     this.failures =
         new AttemptFailures(this, context, counts, excludedTargets, partGuard, chooser, log);
+    this.steps =
+        new StepGuard(
+            log,
+            this::giveUpUnsent,
+            () -> fail(HttpResponseStatus.BAD_GATEWAY, "internal error"),
+            () -> caller.abortIfCurrent(this),
+            () -> finish(FAILED));
   }
 
   /** Starts the request, or tries again to start it while no desired state is known. */
@@ -90,7 +99,7 @@
 
   private void start(RequestResolver.Resolved resolved) {
     awaitingState = false;
-    resolvedAt = System.nanoTime();
+    long resolvedAt = System.nanoTime();
     long limit = resolved.route().timeoutMillis();
     long millis = metadata.timeoutMillis() < 0 ? limit : Math.min(metadata.timeoutMillis(), limit);
     deadline = receivedAt + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -105,6 +114,8 @@
     context.routing().retryBudget(resolved.service().name()).recordFirstAttempt();
     context.routing().demand().record(resolved.service().name(), resolvedAt);
     Runnable expiry = () -> guard(() -> end("the deadline of the request has passed"));
+    int rank = context.relayed() ? RelayHeaders.rank(head, resolved.rank()) : resolved.rank();
+    ticket.open(resolved, rank, resolvedAt, deadline);
     timer = context.loop().schedule(expiry, deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
     tryNextTarget();
   }
@@ -116,31 +127,34 @@
       return;
     }
     long now = System.nanoTime();
-    var decision = chooser.choose(chosen, progress().started(), resolvedAt, now);
+    var decision = chooser.choose(chosen, progress().started(), now);
     if (decision instanceof TargetChooser.Send send) {
       failures.targetWait().end();
+      ticket.admit(now);
       sendWithinBudget(send.destination(), chosen, false);
     } else if (decision instanceof TargetChooser.GiveUp giveUp) {
       giveUp(giveUp.reason(), giveUp.retryAfterSeconds());
     } else {
-      failures.targetWait().begin(now);
+      if (progress().started()) {
+        failures.targetWait().begin(now);
+      }
       excludedTargets.clear();
     }
   }
 
-  private void sendWithinBudget(
-      RoutingState.Destination choice, Service chosen, boolean newConnection) {
+  private void sendWithinBudget(Destination choice, Service chosen, boolean newConnection) {
     if (!counts.mayHaveArrived()
         || context.routing().retryBudget(chosen.name()).tryAcquireRetry()) {
       send(choice, chosen.engine(), newConnection);
     } else {
+      ticket.takeBack(System.nanoTime());
       failures.retryLater(route, "the retry budget is used up", RetryAfter.SECONDS);
     }
   }
 
-  private void send(
-      RoutingState.Destination choice, @Nullable EngineModel model, boolean newConnection) {
-    ForwardingInfo info = ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId());
+  private void send(Destination choice, @Nullable EngineModel model, boolean newConnection) {
+    ForwardingInfo info =
+        ForwardingInfo.of(choice, workspace, deadline, progress().lastEventId(), ticket.rank());
     FullHttpRequest request =
         TargetRequest.of(context, choice, head, body.bytes(), info, counts.runningTargets());
     log.sentTo(choice);
@@ -159,7 +173,7 @@
       return;
     } else if (awaitingState) {
       start(now);
-    } else if (failures.targetWait().isOver(now)) {
+    } else if (failures.targetWait().isOver(now) || ticket.isOver(now)) {
       tryNextTarget();
     } else if (current != null) {
       current.checkProgress(now);
@@ -214,7 +228,7 @@
     }
     long now = System.nanoTime();
     String id = from.target().id();
-    Optional<RoutingState.Destination> again = chooser.chooseAgain(chosen, from, now);
+    Optional<Destination> again = chooser.chooseAgain(chosen, from, now);
     if (again.isEmpty() || partGuard.refusedSeconds(now).isPresent()) {
       return false;
     }
@@ -249,6 +263,10 @@
     return failures;
   }
 
+  AdmissionTicket ticket() {
+    return ticket;
+  }
+
   ResponseSender sender() {
     return sender;
   }
@@ -331,44 +349,17 @@
 
   /** Runs a step of the request; an exception ends the request instead of leaving it open. */
   void guard(Runnable step) {
-    try {
-      step.run();
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-      endAfterError();
-    }
+    steps.run(step);
   }
 
   /** Runs a periodic check; an exception ends the request unless a target is at work on it. */
   void guardCheck(Runnable check) {
-    try {
-      check.run();
-    } catch (RuntimeException e) {
-      if (attempt == null || !checkFailed) {
-        log.stepFailed(e);
-      }
-      checkFailed = true;
-      if (attempt == null) {
-        endAfterError();
-      }
-    }
+    steps.check(check, () -> attempt != null);
   }
 
-  private void endAfterError() {
-    try {
-      if (counts.sentCount() == 0) {
-        giveUp("internal error");
-      }
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-    }
-    try {
-      fail(HttpResponseStatus.BAD_GATEWAY, "internal error");
-    } catch (RuntimeException e) {
-      log.stepFailed(e);
-    } finally {
-      caller.abortIfCurrent(this);
-      finish(FAILED);
+  private void giveUpUnsent() {
+    if (counts.sentCount() == 0) {
+      giveUp("internal error");
     }
   }
 
@@ -385,6 +376,7 @@
       attempt = null;
     }
     stalled.cancel();
+    ticket.close();
     body.release();
     context.metrics().recordEnd(routeName(), outcome, System.nanoTime() - receivedAt);
     return true;
--- a/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/PeerRelay.java
@@ -61,6 +61,11 @@
     watch.tick(now);
   }
 
+  /** Returns whether no VM has requests of this one, nor a connection that is to be closed. */
+  boolean isQuiet() {
+    return watch.isQuiet();
+  }
+
   /**
    * Returns whether the VM that serves an attempt has frozen, or the target of an attempt is silent
    * because this VM is cut off from its service. If no target of the service sends anything, checks
@@ -105,20 +110,20 @@
   }
 
   /** Returns another VM as the destination of a request, or empty if none is left. */
-  Optional<RoutingState.Destination> choose(Service service, Set<String> excluded, long now) {
+  Optional<Destination> choose(Service service, Set<String> excluded, long now) {
     return peers.pick(excluded, now).map(peer -> destination(service, peer, now));
   }
 
   /**
    * Returns a VM that has had a request as the destination of it, or empty if it is to be avoided.
    */
-  Optional<RoutingState.Destination> chooseAgain(Service service, PeerVm peer, long now) {
+  Optional<Destination> chooseAgain(Service service, PeerVm peer, long now) {
     return peers.isAvailable(peer, now)
         ? Optional.of(destination(service, peer, now))
         : Optional.empty();
   }
 
-  private static RoutingState.Destination destination(Service service, PeerVm peer, long now) {
+  private static Destination destination(Service service, PeerVm peer, long now) {
     TargetStatement statement =
         new TargetStatement(
             peer.targetId(),
@@ -132,7 +137,7 @@
             0,
             0);
     Fleet.Member member = new Fleet.Member(statement, now, null, now - 1, 0);
-    return new RoutingState.Destination(member, List.of(), peer);
+    return new Destination(member, List.of(), peer);
   }
 
   /** Records that a VM could not serve a request; does nothing for a target. */
--- a/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/ProxyServer.java
@@ -2,14 +2,11 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -17,7 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.clementinesail.core.desired.RequestLimits;
+import org.clementinesail.core.limits.ClientLimits;
 import org.clementinesail.core.limits.PlannedStop;
 import org.clementinesail.core.limits.StartupWait;
 import org.clementinesail.core.reachability.PeerPicker;
@@ -41,10 +38,13 @@
   /** Interval of checks for idle connections. */
   private static final long IDLE_CHECK_INTERVAL_MS = 1_000;
 
-  private static final int MAX_REQUEST_LINE_BYTES = 16_384;
+  /**
+   * Idle time after which a connection may be closed for lack of descriptors; other VMs send
+   * requests that must not be repeated on connections that are idle for up to 1.5 s.
+   */
+  private static final long MIN_IDLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  /** Room for the headers that another VM adds to a request that its caller's port has accepted. */
-  private static final int MAX_ADDED_HEADER_BYTES = 1_024;
+  private static final long MIN_IDLE_CLOSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   /** Bytes queued for a caller above which reading from its target pauses. */
   private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
@@ -52,10 +52,14 @@
 
   private final EventLoop loop;
   private final ProxyContext context;
+  private final ClientLimits clientLimits;
+  private final LimitReports reports;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private final List<Channel> serverChannels = new CopyOnWriteArrayList<>();
   private @Nullable PlannedStop plannedStop;
+  private @Nullable ScheduledFuture<?> progressChecks;
+  private long idleClosedAt = System.nanoTime() - MIN_IDLE_CLOSE_INTERVAL_NANOS;
 
   /**
    * Creates a server; {@link #listen} starts it.
@@ -76,6 +80,40 @@
       StartupWait startupWait,
       ProxyMetrics metrics,
       DecisionLog log) {
+    this(
+        loop,
+        dialect,
+        engineDialect,
+        routing,
+        startupWait,
+        ClientLimits.ofMachine(Runtime.getRuntime().maxMemory(), 0, 0),
+        metrics,
+        log);
+  }
+
+  /**
+   * Creates a server with other limits than those of the heap; {@link #listen} starts it.
+   *
+   * @param loop event loop that all work is done on
+   * @param dialect header names of callers and targets
+   * @param engineDialect format of reports from engines
+   * @param routing desired state, fleet and load
+   * @param startupWait how long requests wait for the first desired state
+   * @param clientLimits what all callers together may hold
+   * @param metrics receives the counters and latencies of requests
+   * @param log receives refusals, failures and retries
+   */
+  public ProxyServer(
+      EventLoop loop,
+      Dialect dialect,
+      EngineDialect engineDialect,
+      RoutingState routing,
+      StartupWait startupWait,
+      ClientLimits clientLimits,
+      ProxyMetrics metrics,
+      DecisionLog log) {
+    this.clientLimits = clientLimits;
+    this.reports = new LimitReports(metrics, log);
     this.loop = loop;
     TargetPool pool = new TargetPool(loop, dialect, log);
     EngineProbe probe = new EngineProbe(loop, pool, engineDialect);
@@ -94,10 +132,37 @@
             new RateLimitReports(loop, routing, checks, log),
             new PeerRelay(peers, checks, new PeerWatch(loop, peers, log)),
             false,
-            new BufferLimit(),
+            new BufferLimit(
+                clientLimits.memoryBytes(), (held, max) -> reports.record("memory", held, max)),
             startupWait,
             metrics,
             log);
+    routing.locality().listener(this::recordChangedShare);
+  }
+
+  private void recordChangedShare(LocalityState.Change change) {
+    String service = change.figures().service();
+    context.metrics().recordShareSentAway(service, change.from(), change.to(), change.share());
+    context
+        .log()
+        .write(
+            "share of data centre changed",
+            "service",
+            service,
+            "from",
+            change.from(),
+            "to",
+            change.to(),
+            "share",
+            change.share(),
+            "call_ms",
+            change.figures().callSeconds() * TimeUnit.SECONDS.toMillis(1),
+            "waiting",
+            change.figures().waiting(),
+            "figures",
+            change.figures().dataCentres(),
+            "age_ms",
+            TimeUnit.NANOSECONDS.toMillis(change.ageNanos()));
   }
 
   /** Returns what is known of requests, and parts of them, that crash targets. */
@@ -122,12 +187,15 @@
    * @param address address and port to listen on
    */
   public void listen(InetSocketAddress address) {
-    serverChannels.add(bind(address, context));
-    loop.scheduleWithFixedDelay(
-        new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
-        PROGRESS_CHECK_INTERVAL_MS,
-        PROGRESS_CHECK_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
+    ConnectionLimit limit =
+        new ConnectionLimit(
+            "connections",
+            clientLimits.connections(),
+            reports,
+            this::closeIdle,
+            this::headerTimeoutNanos);
+    serverChannels.add(bind(address, context, limit));
+    context.routing().admission().start(loop, this::isCutOff);
     loop.scheduleWithFixedDelay(
         new ErrorLoggingTask("closing idle connections", this::closeExpired),
         IDLE_CHECK_INTERVAL_MS,
@@ -142,10 +210,18 @@
    * @param address address and port to listen on
    */
   public void listenForPeers(InetSocketAddress address) {
-    serverChannels.add(bind(address, context.forRelayedRequests()));
+    ConnectionLimit limit =
+        new ConnectionLimit(
+            "relay_connections",
+            clientLimits.relayConnections(),
+            reports,
+            this::closeIdle,
+            this::headerTimeoutNanos);
+    serverChannels.add(bind(address, context.forRelayedRequests(), limit));
   }
 
-  private Channel bind(InetSocketAddress address, ProxyContext requestContext) {
+  private Channel bind(
+      InetSocketAddress address, ProxyContext requestContext, ConnectionLimit limit) {
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -154,24 +230,11 @@
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
         .childHandler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                int added = requestContext.relayed() ? MAX_ADDED_HEADER_BYTES : 0;
-                int head = RequestLimits.DEFAULT.maxHeaderBytes() + added;
-                HttpDecoderConfig config =
-                    new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                        .setMaxHeaderSize(head)
-                        .setValidateHeaders(false);
-                channel.pipeline().addLast(new HttpServerCodec(config));
-                channel.pipeline().addLast(new RequestHeadCheck());
-                if (requestContext.relayed()) {
-                  channel.pipeline().addLast(new SignOfLife(ProxyServer.this::reachesTargets));
-                }
-                channel.pipeline().addLast(new CallerConnection(requestContext, ProxyServer.this));
-              }
-            })
+            new CallerChannels(
+                requestContext,
+                limit,
+                this::reachesTargets,
+                () -> new CallerConnection(requestContext, this)))
         .bind(address)
         .syncUninterruptibly()
         .channel();
@@ -228,13 +291,55 @@
     serverChannels.forEach(Channel::close);
   }
 
+  /**
+   * Begins to close connections that are idle, at most every 100 ms. Returns whether all ports
+   * together still have room for a new one.
+   */
+  private long headerTimeoutNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(context.requestLimits().headerTimeoutMillis());
+  }
+
+  private boolean closeIdle() {
+    long now = System.nanoTime();
+    if (now - idleClosedAt > MIN_IDLE_CLOSE_INTERVAL_NANOS) {
+      idleClosedAt = now;
+      List.copyOf(connections).forEach(c -> c.closeIfIdle(now, MIN_IDLE_NANOS));
+    }
+    long max = (long) clientLimits.connections() + clientLimits.relayConnections();
+    return connections.size() < max;
+  }
+
   private boolean reachesTargets() {
     return context.peers().checks().reachability().cutOff().isEmpty();
   }
 
+  private boolean isCutOff(String service) {
+    return context.peers().checks().reachability().isCutOff(service);
+  }
+
+  /** Checks the progress of requests until none is left, so that an idle process does not wake. */
+  private void startProgressChecks() {
+    if (progressChecks == null) {
+      // The watch of other VMs counts time from here on.
+      context.peers().tick(System.nanoTime());
+      progressChecks =
+          loop.scheduleWithFixedDelay(
+              new ErrorLoggingTask("checking the progress of requests", this::checkProgress),
+              PROGRESS_CHECK_INTERVAL_MS,
+              PROGRESS_CHECK_INTERVAL_MS,
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void checkProgress() {
     long now = System.nanoTime();
     context.peers().tick(now);
+    if (exchanges.isEmpty() && context.peers().isQuiet() && progressChecks != null) {
+      progressChecks.cancel(false);
+      progressChecks = null;
+      return;
+    }
+    context.routing().admission().dispatch(now);
     for (Exchange exchange : List.copyOf(exchanges)) {
       exchange.guardCheck(() -> exchange.checkProgress(now));
     }
@@ -245,6 +350,15 @@
     List.copyOf(connections).forEach(c -> c.closeIfExpired(now));
   }
 
+  ClientLimits clientLimits() {
+    return clientLimits;
+  }
+
+  /** Records that a connection is ended for a limit of its own. */
+  void limitReached(String kind) {
+    reports.record(kind, connections.size(), clientLimits.connections());
+  }
+
   boolean draining() {
     return plannedStop != null;
   }
@@ -264,6 +378,7 @@
 
   void exchangeStarted(Exchange exchange) {
     exchanges.add(exchange);
+    startProgressChecks();
   }
 
   void exchangeEnded(Exchange exchange) {
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -9,7 +9,6 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
@@ -17,6 +16,7 @@
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.EngineReport;
 import org.clementinesail.core.fleet.Fleet;
+import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.RetryBudget;
 import org.clementinesail.core.load.FleetLoad;
 import org.clementinesail.core.paths.Hop;
@@ -27,7 +27,6 @@
 import org.clementinesail.core.paths.ServerPicker;
 import org.clementinesail.core.ratelimits.DemandMeter;
 import org.clementinesail.core.ratelimits.SendPermissions;
-import org.clementinesail.core.reachability.PeerVm;
 import org.jspecify.annotations.Nullable;
 
 /** Desired state, fleet and this VM's load, by which it routes. Confined to the event loop. */
@@ -43,34 +42,29 @@
   public record Settings(
       String dataCentre, long leaseNanos, double retryRatio, double retryAllowance) {}
 
-  /** How long a request may wait for a target before it is refused with Retry-After. */
-  static final long MAX_TARGET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Longest time over which the callers that are refused at once are spread at their return. */
   private static final double MAX_SPREAD_SECONDS = 2.5;
 
-  /** Shortest and longest delay of a caller whose request exceeds the limits of the targets. */
-  private static final double MIN_LIMITED_SECONDS = 0.5;
-
-  private static final double MAX_LIMITED_SECONDS = 10;
-
   private final Settings settings;
   private final Fleet fleet;
   private final SendPermissions permissions;
   private final DemandMeter demand = new DemandMeter();
+  private final TargetPermits permits;
   private final LocalLoad ownLoad = new LocalLoad();
   private final LinkLoad crossDataCentreLoad = new LinkLoad();
   private final LinkHealth linkHealth = new LinkHealth();
   private final PathPlanner pathPlanner;
   private final ServerPicker serverPicker;
+  private final LocalityState locality;
   private final RandomGenerator random;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private @Nullable DesiredState desiredState;
   private int trafficVms = 1;
   private int sendingVms;
   private FleetLoad fleetLoad = FleetLoad.NONE;
+  private final AdmissionQueues admission = new AdmissionQueues(this::fleetLoad);
 
   /**
    * Creates a state without a desired state and without targets.
@@ -83,8 +77,12 @@
     this.random = random;
     this.fleet = new Fleet(settings.leaseNanos());
     this.permissions = new SendPermissions(random);
-    this.pathPlanner = new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, random);
-    this.serverPicker = new ServerPicker(ownLoad, random);
+    this.permits = new TargetPermits(permissions, demand);
+    this.pathPlanner =
+        new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, this::fleetLoad, random);
+    this.serverPicker = new ServerPicker(ownLoad, this::fleetLoad, random);
+    this.locality =
+        new LocalityState(settings.dataCentre(), crossDataCentreLoad, linkHealth, random);
   }
 
   /** Returns the current desired state, or empty if none is known yet. */
@@ -131,6 +129,16 @@
     fleetLoad = next;
   }
 
+  /** Returns the shares of demand that leave this VM's data centre. */
+  LocalityState locality() {
+    return locality;
+  }
+
+  /** Returns the requests that wait for targets. */
+  public AdmissionQueues admission() {
+    return admission;
+  }
+
   /** Returns this VM's load on each target. */
   public LocalLoad ownLoad() {
     return ownLoad;
@@ -195,6 +203,7 @@
    */
   public void recordReport(EngineReport report, long suspectUntil) {
     fleet.recordReport(report, suspectUntil);
+    admission.wake();
     if (report.reachable()) {
       ownLoad.recordReport(report.id(), report.reportedAt());
     }
@@ -203,25 +212,38 @@
   /**
    * Returns a path through the engines of a service, or empty if none is available.
    *
-   * @param service name of the service
+   * @param service the service
    * @param model timing and sizes of its engines
    * @param estimate expected tokens of the request
    * @param excluded ids of targets not to use
    * @param now current time in nanoseconds
    */
   private Optional<List<Hop>> planPath(
-      String service, EngineModel model, TokenEstimate estimate, Set<String> excluded, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
+      Service service, EngineModel model, TokenEstimate estimate, Set<String> excluded, long now) {
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> notFirst = withoutPermit(ready, now);
-    int vms = sendingVms > 0 ? sendingVms : trafficVms;
-    return pathPlanner.plan(model, ready, requirements(estimate), excluded, notFirst, vms, now);
+    int vms = vmsThatSend();
+    PathPlanner.Requirements requirements =
+        drawDataCentre(service, estimate.promptTokens(), now)
+            .map(
+                selected ->
+                    new PathPlanner.Requirements(
+                        estimate.promptTokens(), estimate.answerTokens(), selected, true))
+            .orElseGet(() -> requirements(estimate));
+    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
   }
 
-  /**
-   * Returns why {@link #chooseDestination} finds no target.
-   *
-   * @return a short description for the log; empty for a service without engines
-   */
+  private int vmsThatSend() {
+    return sendingVms > 0 ? sendingVms : trafficVms;
+  }
+
+  /** Draws the data centre that serves a request; empty if no shares are known. */
+  private Optional<String> drawDataCentre(Service service, int promptTokens, long now) {
+    return locality.draw(
+        desiredState(), service, fleet, fleetLoad, vmsThatSend(), promptTokens, now);
+  }
+
+  /** Returns for the log why no target is found; empty for a service without engines. */
   String describeGaps(Service service, RequestMetadata metadata, Set<String> excluded, long now) {
     EngineModel model = service.engine();
     if (model == null) {
@@ -244,29 +266,14 @@
         estimate.promptTokens(), estimate.answerTokens(), settings.dataCentre());
   }
 
-  /**
-   * The target of a request.
-   *
-   * @param firstTarget target that the request is sent to
-   * @param path engines that the request passes through; empty for a service without engines
-   * @param peer VM that chooses the target in place of this one, or null if this one does; then it
-   *     stands for the target
-   */
-  record Destination(Fleet.Member firstTarget, List<Hop> path, @Nullable PeerVm peer) {
-    Destination(Fleet.Member firstTarget, List<Hop> path) {
-      this(firstTarget, path, null);
-    }
-  }
-
   /** Returns the target for a request, or empty if none is available. */
   Optional<Destination> chooseDestination(
       Service service, RequestMetadata metadata, Set<String> excluded, long now) {
     EngineModel model = service.engine();
     if (model == null) {
-      return pickTarget(service.name(), excluded, now)
-          .map(member -> new Destination(member, List.of()));
+      return pickTarget(service, excluded, now).map(member -> new Destination(member, List.of()));
     }
-    return planPath(service.name(), model, TokenEstimate.of(metadata, model), excluded, now)
+    return planPath(service, model, TokenEstimate.of(metadata, model), excluded, now)
         .map(path -> new Destination(fleet.member(path.get(0).id()).orElseThrow(), path));
   }
 
@@ -300,7 +307,8 @@
    */
   OptionalDouble deferralSeconds(Service service, RequestMetadata metadata, long now) {
     OptionalLong until = fleet.deferredUntil(service.name(), now);
-    OptionalDouble limited = limitedSeconds(service.name(), now);
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
+    OptionalDouble limited = permits.limitedSeconds(service.name(), ready, trafficVms, now);
     boolean deferred = until.isPresent() || limited.isPresent();
     if (!deferred || chooseDestination(service, metadata, Set.of(), now).isPresent()) {
       return OptionalDouble.empty();
@@ -310,34 +318,8 @@
     return OptionalDouble.of(Math.min(seconds, limited.orElse(Double.MAX_VALUE)));
   }
 
-  /**
-   * Returns how many seconds the limited targets of a service need for what arrives in a second;
-   * empty unless some of them have reached their limits.
-   */
-  private OptionalDouble limitedSeconds(String service, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
-    if (withoutPermit(ready, now).isEmpty()) {
-      return OptionalDouble.empty();
-    }
-    double perSecond =
-        ready.stream()
-            .mapToDouble(m -> permissions.limitPerSecond(m.statement()).orElse(0.0))
-            .sum();
-    double seconds = demand.perSecond(service, now) * trafficVms / perSecond;
-    return OptionalDouble.of(Math.max(MIN_LIMITED_SECONDS, Math.min(MAX_LIMITED_SECONDS, seconds)));
-  }
-
-  /** Returns the targets that have reached their limits, as far as this VM may send to them. */
   private Set<String> withoutPermit(List<Fleet.Member> ready, long now) {
-    Set<String> without = new HashSet<>();
-    if (permissions.hasLimits()) {
-      for (Fleet.Member member : ready) {
-        if (!permissions.maySend(member.statement(), trafficVms, now)) {
-          without.add(member.statement().id());
-        }
-      }
-    }
-    return without;
+    return permits.exhausted(ready, trafficVms, now);
   }
 
   /** Returns the permissions to send to targets that limit their rate. */
@@ -353,6 +335,8 @@
   /** Records that a request is sent to a target. */
   void recordSent(Fleet.Member target, long now) {
     permissions.recordSent(target.statement(), trafficVms, now);
+    TargetStatement statement = target.statement();
+    admission.fullTargets().recordSent(statement.service(), statement.id(), now);
   }
 
   /** Records a request sent to the engines of a path; returns the load added to each engine. */
@@ -362,6 +346,9 @@
     List<LocalLoad.Assignment> assignments = new ArrayList<>(path.size());
     long tokens = (long) estimate.promptTokens() + estimate.answerTokens();
     String dataCentre = path.get(0).dataCentre();
+    fleet
+        .member(path.get(0).id())
+        .ifPresent(m -> locality.recordPath(m.statement().service(), path));
     for (Hop hop : path) {
       assignments.add(ownLoad.assign(hop.id(), tokens * hop.layers().size(), now));
       if (!hop.dataCentre().equals(dataCentre)) {
@@ -374,11 +361,20 @@
   }
 
   /** Returns a target of a service without engines, or empty if none is available. */
-  private Optional<Fleet.Member> pickTarget(String service, Set<String> excluded, long now) {
-    List<Fleet.Member> ready = fleet.ready(service, now);
+  private Optional<Fleet.Member> pickTarget(Service service, Set<String> excluded, long now) {
+    List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> avoided = withoutPermit(ready, now);
     avoided.addAll(excluded);
-    return serverPicker.pick(ready, avoided, settings.dataCentre(), now);
+    Optional<String> selected = drawDataCentre(service, 0, now);
+    return admission.pickWithRoom(
+        service.name(),
+        ready,
+        avoided,
+        now,
+        (servers, without) ->
+            selected.isPresent()
+                ? serverPicker.pickByShare(servers, without, selected.get(), now)
+                : serverPicker.pick(servers, without, settings.dataCentre(), now));
   }
 
   /** Returns this VM's budget of retries to a service, from half of the values in the settings. */
