Route paths of engines without the shares of data centres

Paths are planned by expected time again, as before this work. Not measured on a site since; 34 tests of paths, routing and locality pass.

--- a/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
+++ b/core/src/main/java/org/clementinesail/core/paths/PathPlanner.java
@@ -53,13 +53,6 @@
    */
   private static final double REMOTE_START_MILLIS = 30;
 
-  /**
-   * A path within the data centre that the shares select is used unless it takes this many times as
-   * long as the best one. Random factors and small differences in load stay below; a much slower or
-   * overloaded data centre does not.
-   */
-  private static final double MAX_SELECTED_FACTOR = 2;
-
   /** The time of each engine is multiplied by a random factor from 1 to 1 plus this value. */
   private static final double RANDOM_SPREAD = 0.15;
 
@@ -76,21 +69,8 @@
    * @param answerTokens expected number of answer tokens
    * @param dataCentre data centre in which the path preferably starts: the one that the shares
    *     select, or that of this VM
-   * @param byShare whether the shares select the data centre
    */
-  public record Requirements(
-      int promptTokens, int answerTokens, String dataCentre, boolean byShare) {
-    /**
-     * Creates requirements without a data centre that the shares select.
-     *
-     * @param promptTokens number of prompt tokens
-     * @param answerTokens expected number of answer tokens
-     * @param dataCentre data centre of this VM
-     */
-    public Requirements(int promptTokens, int answerTokens, String dataCentre) {
-      this(promptTokens, answerTokens, dataCentre, false);
-    }
-  }
+  public record Requirements(int promptTokens, int answerTokens, String dataCentre) {}
 
   /** An engine with memory for the request, and its expected time per layer for the request. */
   private record Candidate(
@@ -198,19 +178,7 @@
     double linkUtilization = linkLoad.utilization(model.linkMegabitsPerSecond(), sent.vms(), now);
     Map<String, PartialPath> starts = startingPaths(candidates, requirements, now);
     double hopMillis = remoteHopMillis(model, requirements, linkUtilization);
-    Optional<PartialPath> best = cheapestPath(model, candidates, starts, requirements, hopMillis);
-    if (!requirements.byShare() || best.isEmpty()) {
-      return best.map(PathPlanner::hops);
-    }
-    List<Candidate> selected =
-        candidates.stream()
-            .filter(c -> c.member().statement().dataCentre().equals(requirements.dataCentre()))
-            .toList();
-    double limit = best.get().millis() * MAX_SELECTED_FACTOR;
-    return cheapestPath(model, selected, starts, requirements, hopMillis)
-        .filter(path -> path.millis() <= limit)
-        .or(() -> best)
-        .map(PathPlanner::hops);
+    return cheapestPath(model, candidates, starts, requirements, hopMillis).map(PathPlanner::hops);
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -223,14 +223,7 @@
     List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> notFirst = withoutPermit(ready, now);
     int vms = vmsThatSend();
-    PathPlanner.Requirements requirements =
-        drawDataCentre(service, estimate.promptTokens(), now)
-            .map(
-                selected ->
-                    new PathPlanner.Requirements(
-                        estimate.promptTokens(), estimate.answerTokens(), selected, true))
-            .orElseGet(() -> requirements(estimate));
-    return pathPlanner.plan(model, ready, requirements, excluded, notFirst, vms, now);
+    return pathPlanner.plan(model, ready, requirements(estimate), excluded, notFirst, vms, now);
   }
 
   private int vmsThatSend() {
@@ -238,9 +231,8 @@
   }
 
   /** Draws the data centre that serves a request; empty if no shares are known. */
-  private Optional<String> drawDataCentre(Service service, int promptTokens, long now) {
-    return locality.draw(
-        desiredState(), service, fleet, fleetLoad, vmsThatSend(), promptTokens, now);
+  private Optional<String> drawDataCentre(Service service, long now) {
+    return locality.draw(desiredState(), service, fleet, fleetLoad, vmsThatSend(), 0, now);
   }
 
   /** Returns for the log why no target is found; empty for a service without engines. */
@@ -365,7 +357,7 @@
     List<Fleet.Member> ready = fleet.ready(service.name(), now);
     Set<String> avoided = withoutPermit(ready, now);
     avoided.addAll(excluded);
-    Optional<String> selected = drawDataCentre(service, 0, now);
+    Optional<String> selected = drawDataCentre(service, now);
     return admission.pickWithRoom(
         service.name(),
         ready,
