--- a/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/Exchange.java
@@ -48,7 +48,7 @@
   private @Nullable ScheduledFuture<?> timer;
   private @Nullable Attempt attempt;
   private boolean awaitingState;
-  private final StepGuard steps;
+  private final StepRunner steps;
   private boolean finished;
 
   Exchange(
@@ -74,7 +74,7 @@
     this.failures =
         new AttemptFailures(this, context, counts, excludedTargets, partGuard, chooser, log);
     this.steps =
-        new StepGuard(
+        new StepRunner(
             log,
             this::giveUpUnsent,
             () -> fail(HttpResponseStatus.BAD_GATEWAY, "internal error"),
--- a/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/LocalityState.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.desired.DesiredState;
-import org.clementinesail.core.desired.EngineModel;
 import org.clementinesail.core.desired.Service;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.load.FleetLoad;
@@ -19,9 +18,7 @@
 import org.clementinesail.core.locality.LocalityPlanner;
 import org.clementinesail.core.locality.LocalityShares;
 import org.clementinesail.core.locality.ServiceFigures;
-import org.clementinesail.core.paths.Hop;
 import org.clementinesail.core.paths.LinkHealth;
-import org.clementinesail.core.paths.LinkLoad;
 
 /**
  * The shares of demand that leave a data centre, as this VM computes them. Confined to the event
@@ -39,19 +36,16 @@
   /** A single call that a caller reads slowly must not look like a loss of capacity. */
   private static final double MAX_CALL_FACTOR = 4;
 
-  /** Part of a new value in the moving averages of call times and crossings. */
+  /** Part of a new value in the moving averages of call times. */
   private static final double NEW_VALUE_WEIGHT = 0.05;
 
   private static final double NANOS_PER_SECOND = 1e9;
-  private static final double BYTES_PER_MEGABIT = 125_000;
 
   private final String dataCentre;
-  private final LinkLoad linkLoad;
   private final LinkHealth linkHealth;
   private final RandomGenerator random;
   private final Set<String> dataCentres = new HashSet<>();
   private final Map<String, Double> callSeconds = new HashMap<>();
-  private final Map<String, Double> crossings = new HashMap<>();
   private FleetLoad planned = FleetLoad.NONE;
   private List<ServiceFigures> figures = List.of();
   private long plannedAt;
@@ -74,10 +68,8 @@
   record Change(ServiceFigures figures, String from, String to, double share, long ageNanos) {}
 
   /** Creates a state without shares; parameters are those of {@link RoutingState}. */
-  LocalityState(
-      String dataCentre, LinkLoad linkLoad, LinkHealth linkHealth, RandomGenerator random) {
+  LocalityState(String dataCentre, LinkHealth linkHealth, RandomGenerator random) {
     this.dataCentre = dataCentre;
-    this.linkLoad = linkLoad;
     this.linkHealth = linkHealth;
     this.random = random;
     dataCentres.add(dataCentre);
@@ -97,45 +89,24 @@
     String service = attempt.target().service();
     double seconds = (System.nanoTime() - attempt.sentAt()) / NANOS_PER_SECOND;
     double mean = callSeconds.getOrDefault(service, seconds);
-    average(callSeconds, service, Math.min(seconds, MAX_CALL_FACTOR * mean));
-  }
-
-  /** Records the path of a request, for the mean number of crossings. */
-  void recordPath(String service, List<Hop> path) {
-    int count = 0;
-    for (int i = 1; i < path.size(); i++) {
-      count += path.get(i).dataCentre().equals(path.get(i - 1).dataCentre()) ? 0 : 1;
-    }
-    average(crossings, service, count);
-  }
-
-  private static void average(Map<String, Double> averages, String key, double value) {
-    averages.merge(key, value, (old, next) -> old + NEW_VALUE_WEIGHT * (next - old));
+    double next = Math.min(seconds, MAX_CALL_FACTOR * mean);
+    callSeconds.put(service, mean + NEW_VALUE_WEIGHT * (next - mean));
   }
 
   /**
-   * Draws the data centre for a request; empty if the constant penalties apply.
+   * Draws the data centre for a request of a service without engines; empty if the constant
+   * penalties apply.
    *
    * @param state desired state, with the service
-   * @param promptTokens prompt tokens of the request; 0 if it has none
    * @param now current time in nanoseconds of the monotonic clock
    */
   Optional<String> draw(
-      Optional<DesiredState> state,
-      Service service,
-      Fleet fleet,
-      FleetLoad load,
-      int vms,
-      int promptTokens,
-      long now) {
-    refresh(state, fleet, load, vms, now);
-    EngineModel model = service.engine();
-    double mean = model == null ? 0 : model.meanPromptTokens();
-    return shares.draw(service.name(), dataCentre, promptTokens, mean, random.nextDouble());
+      Optional<DesiredState> state, Service service, Fleet fleet, FleetLoad load, long now) {
+    refresh(state, fleet, load, now);
+    return shares.draw(service.name(), dataCentre, 0, 0, random.nextDouble());
   }
 
-  private void refresh(
-      Optional<DesiredState> state, Fleet fleet, FleetLoad load, int vms, long now) {
+  private void refresh(Optional<DesiredState> state, Fleet fleet, FleetLoad load, long now) {
     if (!load.isFresh(now) || state.isEmpty()) {
       LocalityShares previous = shares;
       shares = LocalityShares.NONE;
@@ -153,12 +124,14 @@
     dataCentres.remove("");
     List<ServiceFigures> next = new ArrayList<>();
     for (Service service : state.get().services()) {
-      next.add(figures(state.get(), service, fleet, load, now));
+      if (service.engine() == null) {
+        next.add(figures(state.get(), service, fleet, load, now));
+      }
     }
     figures = next;
     long age = now - load.observedAt() + INTERVAL_NANOS;
     LocalityShares previous = shares;
-    shares = LocalityPlanner.plan(figures, links(state.get(), vms, now), previous, age);
+    shares = LocalityPlanner.plan(figures, links(now), previous, age);
     reportChanges(previous, age);
   }
 
@@ -167,27 +140,17 @@
     String name = service.name();
     FigureBuilder.Measured measured =
         new FigureBuilder.Measured(
-            callSeconds.getOrDefault(name, 0.0),
-            state.shortestTargetLatencyMillis(name),
-            crossings.getOrDefault(name, 0.0));
+            callSeconds.getOrDefault(name, 0.0), state.shortestTargetLatencyMillis(name));
     return FigureBuilder.build(service, fleet.ready(name, now), load, dataCentres, measured, now);
   }
 
   /** Returns the links; this VM observes only those of its own data centre. */
-  private Links links(DesiredState state, int vms, long now) {
-    double megabits =
-        state.services().stream()
-            .map(Service::engine)
-            .mapToDouble(model -> model == null ? 0 : model.linkMegabitsPerSecond())
-            .max()
-            .orElse(0);
-    double free = 1 - Math.min(1, linkLoad.utilization(megabits, vms, now));
-    double bytes = megabits > 0 ? megabits * BYTES_PER_MEGABIT * free : Double.MAX_VALUE;
+  private Links links(long now) {
     return (from, to) ->
         new Links.Link(
             !from.equals(dataCentre) || linkHealth.penaltyMillis(to, now) == 0,
             LINK_DELAY_MILLIS,
-            bytes);
+            Double.MAX_VALUE);
   }
 
   private void reportChanges(LocalityShares previous, long age) {
--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -81,8 +81,7 @@
     this.pathPlanner =
         new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, this::fleetLoad, random);
     this.serverPicker = new ServerPicker(ownLoad, this::fleetLoad, random);
-    this.locality =
-        new LocalityState(settings.dataCentre(), crossDataCentreLoad, linkHealth, random);
+    this.locality = new LocalityState(settings.dataCentre(), linkHealth, random);
   }
 
   /** Returns the current desired state, or empty if none is known yet. */
@@ -232,7 +231,7 @@
 
   /** Draws the data centre that serves a request; empty if no shares are known. */
   private Optional<String> drawDataCentre(Service service, long now) {
-    return locality.draw(desiredState(), service, fleet, fleetLoad, vmsThatSend(), 0, now);
+    return locality.draw(desiredState(), service, fleet, fleetLoad, now);
   }
 
   /** Returns for the log why no target is found; empty for a service without engines. */
@@ -338,9 +337,6 @@
     List<LocalLoad.Assignment> assignments = new ArrayList<>(path.size());
     long tokens = (long) estimate.promptTokens() + estimate.answerTokens();
     String dataCentre = path.get(0).dataCentre();
-    fleet
-        .member(path.get(0).id())
-        .ifPresent(m -> locality.recordPath(m.statement().service(), path));
     for (Hop hop : path) {
       assignments.add(ownLoad.assign(hop.id(), tokens * hop.layers().size(), now));
       if (!hop.dataCentre().equals(dataCentre)) {
--- a/server/src/main/java/org/clementinesail/server/proxy/StepGuard.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/StepRunner.java
@@ -6,18 +6,18 @@
 /**
  * Ends a request after an exception in one of its steps, so that its caller is not left waiting.
  */
-final class StepGuard {
+final class StepRunner {
   private final ExchangeLog log;
   private final List<Runnable> endings;
   private boolean checkFailed;
 
   /**
-   * Creates a guard.
+   * Creates a runner.
    *
    * @param log receives the exceptions
    * @param endings ways to end the request; all are run in this order, also if one fails
    */
-  StepGuard(ExchangeLog log, Runnable... endings) {
+  StepRunner(ExchangeLog log, Runnable... endings) {
     this.log = log;
     this.endings = List.of(endings);
   }
