--- a/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
+++ b/server/src/main/java/org/clementinesail/server/proxy/RoutingState.java
@@ -78,8 +78,9 @@
     this.fleet = new Fleet(settings.leaseNanos());
     this.permissions = new SendPermissions(random);
     this.permits = new TargetPermits(permissions, demand);
-    this.pathPlanner =
-        new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, this::fleetLoad, random);
+    // Engines are chosen by their reports alone: with the load of all VMs, VMs that had just
+    // started lacked processor time, and streams came late.
+    this.pathPlanner = new PathPlanner(ownLoad, crossDataCentreLoad, linkHealth, random);
     this.serverPicker = new ServerPicker(ownLoad, this::fleetLoad, random);
     this.locality = new LocalityState(settings.dataCentre(), linkHealth, random);
   }
