Change the settings in the cases only when all processes have read them

Cause: review/9 with TROUBLE=0 exited with 1 once, beside four other scripts: it set bootstrap to false in the settings files 0.4 s after the start, before the processes had read them, so no cluster could form.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -22,6 +22,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 CANNOT_RUN = 2
+START_LIMIT_S = 15
 
 # Bounds of the small deployments (sheet of foldnet-wales).
 BOUNDS = {
@@ -117,6 +118,10 @@
                 role["run"].split(" "), cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log,
                 stderr=subprocess.STDOUT, start_new_session=True)
 
+    def logged(self, text):
+        with open(self.log, encoding="utf-8") as file:
+            return text in file.read()
+
     def alive(self):
         return self.process is not None and self.process.poll() is None
 
@@ -203,7 +208,18 @@
         for process in self.processes:
             process.start()
 
+    def await_started(self, processes):
+        """Waits until the processes have read their settings: their logs say that they started."""
+        end = time.monotonic() + START_LIMIT_S
+        while not all(process.logged('"event":"started"') for process in processes):
+            if time.monotonic() > end:
+                print("a process has not started in time")
+                sys.exit(CANNOT_RUN)
+            time.sleep(0.005)
+
     def end_bootstrap(self):
+        """Changes the settings files once all processes have read them."""
+        self.await_started(self.processes)
         for process in self.processes:
             process.write_settings(False)
 
