--- a/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
@@ -11,17 +11,45 @@
 final class LeaderState {
   /**
    * Replication progress of one follower: the next index to send, the last index known to match,
-   * and when the latest acknowledged round was sent.
+   * when the latest acknowledged round was sent, and which snapshot it has not acknowledged yet.
    */
   static final class Progress {
+    private static final long NO_SNAPSHOT = -1;
+
     long nextIndex;
     long matchIndex;
     long ackedSendTime;
+    private long sentSnapshot = NO_SNAPSHOT;
+    private long snapshotRetryAt;
 
     Progress(long nextIndex, long ackedSendTime) {
       this.nextIndex = nextIndex;
       this.ackedSendTime = ackedSendTime;
     }
+
+    /** Records that a snapshot was sent, to be repeated at the given time unless acknowledged. */
+    void snapshotSent(long index, long retryAt) {
+      nextIndex = index + 1;
+      sentSnapshot = index;
+      snapshotRetryAt = retryAt;
+    }
+
+    /** Records that the follower holds all entries up to an index. */
+    void snapshotAcknowledged(long match) {
+      if (match >= sentSnapshot) {
+        sentSnapshot = NO_SNAPSHOT;
+      }
+    }
+
+    /** Returns whether a snapshot was sent that is neither acknowledged nor to be repeated yet. */
+    boolean awaitsSnapshotReply(long now) {
+      return sentSnapshot != NO_SNAPSHOT && now - snapshotRetryAt < 0;
+    }
+
+    /** Returns whether a snapshot was sent and has to be repeated, as no reply has come in time. */
+    boolean snapshotRetryDue(long now) {
+      return sentSnapshot != NO_SNAPSHOT && now - snapshotRetryAt >= 0;
+    }
   }
 
   private record Round(long number, long sentAt) {}
--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -9,6 +9,8 @@
   private static final int MAX_ENTRIES_PER_APPEND = 256;
   // One of the largest documents; the network accepts 64 MiB, a VM has little more memory.
   private static final long MAX_BYTES_PER_APPEND = 4L * 1_024 * 1_024;
+  // Heartbeat intervals until a snapshot is repeated that the receiver has not acknowledged.
+  private static final int SNAPSHOT_RETRY_HEARTBEATS = 3;
 
   private final ReplicaContext context;
   private long nextHeartbeatAt;
@@ -57,17 +59,18 @@
     long round = leaderState.startRound(now);
     for (ReplicaId member : context.config.members()) {
       if (!member.equals(context.self)) {
-        sendAppend(leaderState, member, round);
+        sendAppend(leaderState, member, round, now);
       }
     }
     context.emitAll(leaderState.takeConfirmedReads(context.config, context.self));
   }
 
-  private void sendAppend(LeaderState leaderState, ReplicaId to, long round) {
+  private void sendAppend(LeaderState leaderState, ReplicaId to, long round, long now) {
     ReplicaLog log = context.log;
     LeaderState.Progress progress = leaderState.progress(to, 0);
-    if (!log.canSendFrom(progress.nextIndex)) {
-      progress.nextIndex = log.snapshot().index() + 1;
+    if (!log.canSendFrom(progress.nextIndex) || progress.snapshotRetryDue(now)) {
+      long retryAt = now + SNAPSHOT_RETRY_HEARTBEATS * context.timing.heartbeatNanos();
+      progress.snapshotSent(log.snapshot().index(), retryAt);
       context.send(to, context.term, new ReplicaMessage.InstallSnapshot(log.snapshot(), round));
       return;
     }
@@ -173,6 +176,7 @@
     LeaderState.Progress progress = leaderState.progress(from, context.log.lastIndex() + 1);
     leaderState.recordAck(from, reply.round());
     if (reply.success()) {
+      progress.snapshotAcknowledged(reply.match());
       progress.matchIndex =
           Math.max(progress.matchIndex, Math.min(reply.match(), context.log.lastIndex()));
       progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
@@ -188,10 +192,13 @@
     context.emitAll(leaderState.takeConfirmedReads(context.config, context.self));
   }
 
-  /** Sends the snapshot again to a member that reports a blank disk. */
-  void resendSnapshot(LeaderState leaderState, ReplicaId member) {
-    leaderState.progress(member, 0).nextIndex = 0;
-    leaderState.broadcastDue(true);
+  /** Sends the snapshot to a member that reports a blank disk, unless one is on its way. */
+  void sendSnapshotToBlank(LeaderState leaderState, ReplicaId member, long now) {
+    LeaderState.Progress progress = leaderState.progress(member, 0);
+    if (!progress.awaitsSnapshotReply(now)) {
+      progress.nextIndex = 0;
+      leaderState.broadcastDue(true);
+    }
   }
 
   void reconfigure(ReplicaConfig next) {
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -259,6 +259,9 @@
     } else if (context.role == Role.BLANK) {
       if (body instanceof ReplicaMessage.InstallSnapshot install) {
         replication.onInstallSnapshot(message, install, now);
+      } else {
+        // The sender takes this replica for a member with state, so a snapshot was lost.
+        context.send(message.from(), context.term, new ReplicaMessage.Hello(true));
       }
     } else if (message.clusterId() == context.clusterId) {
       receiveFromMember(message, now);
@@ -360,9 +363,10 @@
     Snapshot snapshot = context.log.snapshot();
     if (context.leaderState != null) {
       voters.addLearner(context.leaderState, from, hello.blank(), now);
-    } else if (member && snapshot.index() == 0) {
+    } else if (snapshot.index() == 0 && snapshot.config().voters().contains(from)) {
       context.send(from, context.term, new InitialConfig(snapshot.config()));
-    } else if (!member && bootstrap.open() && context.leader != null) {
+    } else if ((member || bootstrap.open()) && context.leader != null) {
+      // Also for a member: until it has state, the leader does not know that it is to be sent any.
       context.send(context.leader, context.term, new JoinRequest(from, hello.blank()));
     }
   }
--- a/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
+++ b/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
@@ -56,7 +56,7 @@
   void addLearner(LeaderState state, ReplicaId joiner, boolean blank, long now) {
     if (context.config.members().contains(joiner)) {
       if (blank) {
-        replication.resendSnapshot(state, joiner);
+        replication.sendSnapshotToBlank(state, joiner, now);
       }
       return;
     }
--- a/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
@@ -31,11 +31,13 @@
     final String vm;
     StoredState disk = StoredState.blank();
     long diskId = 1;
+    List<String> seeds;
     @Nullable ReplicaCore core;
     long appliedIndex;
 
-    Node(String vm) {
+    Node(String vm, List<String> seeds) {
       this.vm = vm;
+      this.seeds = seeds;
     }
   }
 
@@ -69,7 +71,7 @@
     this.initialMembers = List.of(vms);
     this.open = open;
     for (String vm : vms) {
-      nodes.put(vm, new Node(vm));
+      nodes.put(vm, new Node(vm, initialMembers));
       start(vm);
     }
   }
@@ -82,21 +84,26 @@
     Node node = nodes.get(vm);
     node.core =
         new ReplicaCore(
-            new ReplicaId(vm, node.diskId), membership(vm), node.disk, TIMING, random, now);
+            new ReplicaId(vm, node.diskId), membership(node), node.disk, TIMING, random, now);
     node.appliedIndex = node.disk.snapshot().index();
     handleOutputs(node);
   }
 
-  private Membership membership(String vm) {
+  private Membership membership(Node node) {
     return open
         ? new Membership(
-            initialMembers.contains(vm) ? initialMembers : List.of(), initialMembers, true)
+            initialMembers.contains(node.vm) ? initialMembers : List.of(), node.seeds, true)
         : Membership.fixed(initialMembers);
   }
 
   /** Adds a VM with a blank disk that has the initial members as seeds. */
   void add(String vm) {
-    nodes.put(vm, new Node(vm));
+    add(vm, initialMembers);
+  }
+
+  /** Adds a VM with a blank disk that knows only the given VMs. */
+  void add(String vm, List<String> seeds) {
+    nodes.put(vm, new Node(vm, seeds));
     start(vm);
   }
 
