Let a VM that lost its disk answer messages for the lost one

The leader sent entries for the former disk, which the VM ignored, and the VM sent its Hellos to seeds that were gone. Change: a blank replica answers a message for another disk of its VM by a Hello, which makes the leader exchange the lost disk for the VM.

--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -243,8 +243,14 @@
    */
   public void receive(ReplicaMessage message, long now) {
     ReplicaId to = message.to();
-    boolean diskMatches = to.diskId() == 0 || to.diskId() == context.self.diskId();
-    if (!to.vm().equals(context.self.vm()) || !diskMatches) {
+    if (!to.vm().equals(context.self.vm())) {
+      return;
+    }
+    if (to.diskId() != 0 && to.diskId() != context.self.diskId()) {
+      if (context.role == Role.BLANK) {
+        // The sender counts on the disk that this VM has lost, and may know no seed of this VM.
+        context.send(message.from(), context.term, new ReplicaMessage.Hello(true));
+      }
       return;
     }
     ReplicaMessage.Body body = message.body();
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaJoinTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaJoinTest.java
@@ -98,6 +98,27 @@
     assertIsVoter(cluster, "f");
   }
 
+  /**
+   * Guards against a VM that never rejoins after the loss of its disk because all other seeds have
+   * been replaced (review/8).
+   */
+  @Test(dataProvider = "seeds")
+  public void wipedVmRejoinsAlthoughItsSeedsAreGone(long seed) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, "a", "b", "c");
+    cluster.run(FORMATION_MILLIS);
+    cluster.kill("a");
+    cluster.add("d", List.of("b", "c"));
+    cluster.run(2 * JOIN_MILLIS);
+    cluster.kill("b");
+    cluster.add("e", List.of("c", "d"));
+    cluster.run(2 * JOIN_MILLIS);
+    cluster.wipe("c");
+    cluster.run(1_000);
+    cluster.start("c");
+    cluster.run(JOIN_MILLIS);
+    assertIsVoter(cluster, "c");
+  }
+
   /** Joins while a quarter of all messages is lost and some are late or repeated. */
   @Test(dataProvider = "seeds")
   public void joinsOverALossyNetwork(long seed) {
