Keep a first desired state of any version

Cause: DesiredDocument.NONE, "nothing is stored", had the version 0, so a version of 0 or below counted as old in eight places, from the call of the operator to what entry VMs accept. Entry VMs say in a field of their own whether they hold a version.

--- a/core/src/main/java/org/clementinesail/core/state/SystemState.java
+++ b/core/src/main/java/org/clementinesail/core/state/SystemState.java
@@ -64,21 +64,21 @@
    * @param acceptedRules accepted rule files, oldest first
    * @param claims claims, oldest first
    * @param clockMillis highest wall-clock time of any claim command, in milliseconds since 1970
-   * @param desiredDocument newest version of the desired state
+   * @param desiredDocument newest version of the desired state, or empty if none was accepted
    */
   public record Contents(
       RulesText latestRules,
       List<AcceptedRules> acceptedRules,
       List<Claim> claims,
       long clockMillis,
-      DesiredDocument desiredDocument) {}
+      Optional<DesiredDocument> desiredDocument) {}
 
   private final LinkedHashMap<Long, AcceptedRules> acceptedRules = new LinkedHashMap<>();
   private final LinkedHashMap<CallKey, Claim> claims = new LinkedHashMap<>();
   private final Deque<RulesDelta> recentDeltas = new ArrayDeque<>();
   private RulesText latestRules = RulesText.NONE;
   private long clockMillis;
-  private DesiredDocument desiredDocument = DesiredDocument.NONE;
+  private @Nullable DesiredDocument desiredDocument;
 
   private SystemState() {}
 
@@ -98,7 +98,7 @@
     contents.acceptedRules().forEach(file -> state.acceptedRules.put(file.number(), file));
     contents.claims().forEach(claim -> state.claims.put(claim.key(), claim));
     state.clockMillis = contents.clockMillis();
-    state.desiredDocument = contents.desiredDocument();
+    state.desiredDocument = contents.desiredDocument().orElse(null);
     return state;
   }
 
@@ -109,7 +109,7 @@
         List.copyOf(acceptedRules.values()),
         List.copyOf(claims.values()),
         clockMillis,
-        desiredDocument);
+        desiredDocument());
   }
 
   /** Returns the latest accepted rule file, or {@link RulesText#NONE}. */
@@ -117,9 +117,9 @@
     return latestRules;
   }
 
-  /** Returns the newest version of the desired state, or {@link DesiredDocument#NONE}. */
-  public DesiredDocument desiredDocument() {
-    return desiredDocument;
+  /** Returns the newest version of the desired state, or empty if none was accepted. */
+  public Optional<DesiredDocument> desiredDocument() {
+    return Optional.ofNullable(desiredDocument);
   }
 
   /** Returns the number of claims, including those of ended calls. */
@@ -165,10 +165,10 @@
   }
 
   private CommandResult putDesired(DesiredDocument document) {
-    if (document.version() > desiredDocument.version()) {
-      desiredDocument = document;
-    }
-    return new CommandResult.DesiredHeld(desiredDocument.version());
+    DesiredDocument held = desiredDocument;
+    DesiredDocument newest = held == null || document.replaces(Optional.of(held)) ? document : held;
+    desiredDocument = newest;
+    return new CommandResult.DesiredHeld(newest.version());
   }
 
   private CommandResult submitRules(Command.SubmitRules submit) {
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -64,7 +65,7 @@
   private final ReplicaInputs inputs = new ReplicaInputs();
   private final List<ReplicaTask> batch = new ArrayList<>();
   private final Thread thread;
-  private long notifiedVersion;
+  private Optional<DesiredDocument> notified = Optional.empty();
   private @Nullable Throwable failure;
   private String loggedReason = "";
   private volatile @Nullable ReplicaSession session;
@@ -205,9 +206,9 @@
 
     @Override
     public void desiredAccepted(DesiredDocument document) {
-      if (document.version() > notifiedVersion) {
+      if (document.replaces(notified)) {
         receiver.desiredAccepted(document);
-        notifiedVersion = document.version();
+        notified = Optional.of(document);
       }
     }
   }
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaSession.java
@@ -42,8 +42,8 @@
   private long appliedIndex;
   private long bytesSinceSnapshot;
 
-  /** Version that the listener knows; each notification wakes the event loop. */
-  private long notifiedVersion;
+  /** What the listener knows; each notification wakes the event loop. */
+  private Optional<DesiredDocument> notified = Optional.empty();
 
   ReplicaSession(
       ReplicaOpener.OpenReplica opened,
@@ -84,10 +84,10 @@
    * that VMs that act on a change learn of it before its proposer does.
    */
   void notifyAccepted() {
-    DesiredDocument desired = state.desiredDocument();
-    if (desired.version() != notifiedVersion) {
-      listener.desiredAccepted(desired);
-      notifiedVersion = desired.version();
+    Optional<DesiredDocument> desired = state.desiredDocument();
+    if (desired.isPresent() && desired.get().replaces(notified)) {
+      listener.desiredAccepted(desired.get());
+      notified = desired;
     }
     completions.forEach(Runnable::run);
     completions.clear();
--- a/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/ControlApi.java
@@ -102,8 +102,9 @@
       return;
     }
     long version = ((DesiredState.Valid) checked).state().version();
-    if (version <= publisher.desired().version()) {
-      log.write("desired state is old", "version", version, "held", publisher.desired().version());
+    Optional<DesiredDocument> held = publisher.desired();
+    if (held.isPresent() && version <= held.get().version()) {
+      log.write("desired state is old", "version", version, "held", held.get().version());
       reply.accept(HttpEndpoint.text(OK, JSON, EMPTY_OBJECT));
       return;
     }
@@ -137,19 +138,16 @@
     String uri = request.uri();
     replica
         .read(SystemState::desiredDocument)
-        .whenComplete(
+        .handle(
             (document, failure) ->
-                loop.execute(() -> reply.accept(readResponse(uri, document, failure))));
+                failure == null ? readResponse(document) : failureResponse(uri, failure))
+        .thenAcceptAsync(reply, loop);
   }
 
-  private FullHttpResponse readResponse(
-      String uri, @Nullable DesiredDocument document, @Nullable Throwable failure) {
-    if (document == null) {
-      return failureResponse(uri, failure);
-    }
-    return document.version() == 0
-        ? HttpEndpoint.text(UNAVAILABLE, JSON, EMPTY_OBJECT)
-        : HttpEndpoint.bytes(OK, JSON, DocumentCompression.decompress(document));
+  private static FullHttpResponse readResponse(Optional<DesiredDocument> document) {
+    return document
+        .map(held -> HttpEndpoint.bytes(OK, JSON, DocumentCompression.decompress(held)))
+        .orElseGet(ControlApi::unavailable);
   }
 
   /**
--- a/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
+++ b/server/src/main/java/org/clementinesail/server/fleet/FleetPublisher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -58,14 +59,14 @@
   private final Map<String, Subscriber> subscribers = new HashMap<>();
   private final StatementRenewals renewals;
   private final UnsentNews unsent = new UnsentNews();
-  private DesiredDocument desired = DesiredDocument.NONE;
+  private Optional<DesiredDocument> desired = Optional.empty();
   private final List<Runnable> pushCallbacks = new ArrayList<>();
   private boolean pushScheduled;
   private long desiredPushedAt = System.nanoTime() - MIN_PUSH_INTERVAL_NANOS;
 
   private static final class Subscriber {
     long renewedAt;
-    long desiredVersion;
+    OptionalLong desiredVersion = OptionalLong.empty();
     boolean carriesTraffic;
     boolean acceptsRenewals;
   }
@@ -202,7 +203,7 @@
     subscriber.renewedAt = System.nanoTime();
     subscriber.carriesTraffic = subscribe.getCarriesTraffic();
     subscriber.acceptsRenewals = subscribe.getAcceptsRenewals();
-    subscriber.desiredVersion = subscribe.getDesiredVersion();
+    subscriber.desiredVersion = heldVersion(subscribe);
     if (subscribe.getEverything()) {
       network.send(vm, frame(fullUpdate()));
     }
@@ -226,8 +227,8 @@
    * @param document the version; ignored unless newer than the current one
    */
   public void desired(DesiredDocument document) {
-    if (document.version() > desired.version()) {
-      desired = document;
+    if (document.replaces(desired)) {
+      desired = Optional.of(document);
       if (pushScheduled) {
         return;
       }
@@ -242,8 +243,8 @@
     }
   }
 
-  /** Returns the newest version of the desired state on this VM; version 0 if there is none. */
-  public DesiredDocument desired() {
+  /** Returns the newest version of the desired state on this VM, or empty if there is none. */
+  public Optional<DesiredDocument> desired() {
     return desired;
   }
 
@@ -283,12 +284,25 @@
   }
 
   private void sendDesired(String vm, Subscriber subscriber) {
-    if (subscriber.desiredVersion < desired.version()
-        && network.send(vm, Frame.newBuilder().setDesired(StateCodec.encode(desired)).build())) {
-      subscriber.desiredVersion = desired.version();
+    if (desired.isEmpty()) {
+      return;
+    }
+    DesiredDocument document = desired.get();
+    OptionalLong held = subscriber.desiredVersion;
+    boolean outdated = held.isEmpty() || held.getAsLong() < document.version();
+    if (outdated
+        && network.send(vm, Frame.newBuilder().setDesired(StateCodec.encode(document)).build())) {
+      subscriber.desiredVersion = OptionalLong.of(document.version());
     }
   }
 
+  /** Returns the version that a subscriber holds; builds before state 0 if they hold none. */
+  private static OptionalLong heldVersion(Subscribe subscribe) {
+    return subscribe.getHoldsDesired() || subscribe.getDesiredVersion() != 0
+        ? OptionalLong.of(subscribe.getDesiredVersion())
+        : OptionalLong.empty();
+  }
+
   private void sendUpdate() {
     long now = System.nanoTime();
     subscribers.values().removeIf(s -> now - s.renewedAt > SUBSCRIPTION_TTL_NANOS);
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.core.desired.DesiredState;
@@ -124,7 +125,7 @@
             new SharedSecret(settings.peerSecret()),
             new FrameListener(),
             group);
-    this.subscriptions = new Subscriptions(network, () -> 0L, null);
+    this.subscriptions = new Subscriptions(network, OptionalLong::empty, null);
     this.peerDirectory = new PeerDirectory(network);
     this.publisher =
         new FleetPublisher(
@@ -220,25 +221,20 @@
 
     @Override
     public void desiredAccepted(DesiredDocument document) {
-      loop.execute(() -> publishDesired(document));
+      loop.execute(() -> publisher.desired(document));
     }
   }
 
-  private void publishDesired(DesiredDocument document) {
-    if (document.version() == 0) {
-      return;
-    }
-    publisher.desired(document);
-  }
-
   /** Parses the newest version on demand; only the leader needs it, for placement. */
   private Optional<DesiredState> desiredState() {
-    DesiredDocument newest = publisher.desired();
+    Optional<DesiredDocument> newest = publisher.desired();
     boolean outdated =
-        latestDesiredState == null || latestDesiredState.version() < newest.version();
-    if (newest.version() > 0 && outdated) {
+        newest.isPresent()
+            && (latestDesiredState == null
+                || latestDesiredState.version() < newest.get().version());
+    if (outdated) {
       DesiredState.CheckResult checked =
-          controlDialect.checkDesired(DocumentCompression.decompress(newest));
+          controlDialect.checkDesired(DocumentCompression.decompress(newest.get()));
       if (checked instanceof DesiredState.Valid valid) {
         latestDesiredState = valid.state();
         publisher.fleet().services(valid.state().serviceNames());
--- a/server/src/main/java/org/clementinesail/server/nodes/DesiredStates.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/DesiredStates.java
@@ -1,5 +1,6 @@
 package org.clementinesail.server.nodes;
 
+import java.util.Optional;
 import org.clementinesail.core.admission.RequestRank;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.state.DesiredDocument;
@@ -22,8 +23,8 @@
 
   /** Puts a version in force unless the current one is as new; logs one that is invalid. */
   void receive(String vm, DesiredDocument document) {
-    long currentVersion = routing.desiredState().map(DesiredState::version).orElse(0L);
-    if (document.version() <= currentVersion) {
+    Optional<DesiredState> current = routing.desiredState();
+    if (current.isPresent() && document.version() <= current.get().version()) {
       return;
     }
     DesiredState.CheckResult checked =
--- a/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/EntryNode.java
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.crashes.CrashRecord;
-import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.StatementRenewals;
 import org.clementinesail.core.fleet.TargetStatement;
 import org.clementinesail.core.limits.ClientLimits;
@@ -168,13 +168,20 @@
     this.subscriptions =
         new Subscriptions(
             network,
-            () -> routing.desiredState().map(DesiredState::version).orElse(0L),
+            this::desiredVersion,
             new Subscriptions.Relaying(
                 hostAndPort(settings.relayAddress()),
                 settings.dataCentre(),
                 () -> !proxy.peers().checks().reachability().cutOff().isEmpty()));
   }
 
+  private OptionalLong desiredVersion() {
+    return routing
+        .desiredState()
+        .map(held -> OptionalLong.of(held.version()))
+        .orElseGet(OptionalLong::empty);
+  }
+
   private static String hostAndPort(@Nullable InetSocketAddress address) {
     return address == null ? "" : address.getHostString() + ":" + address.getPort();
   }
--- a/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/Subscriptions.java
@@ -3,10 +3,11 @@
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.clementinesail.server.control.ErrorLoggingTask;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.proto.Frame;
@@ -25,7 +26,7 @@
   private static final long MIN_FULL_UPDATE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final PeerNetwork network;
-  private final LongSupplier desiredVersion;
+  private final Supplier<OptionalLong> desiredVersion;
   private final @Nullable Relaying relaying;
   private Set<String> seeds = Set.of();
   private Set<String> controlVms = Set.of();
@@ -45,9 +46,12 @@
   /**
    * Creates subscriptions.
    *
+   * @param network connections to other VMs
+   * @param desiredVersion the version of the desired state that this VM holds, or empty for none
    * @param relaying what this VM states of itself, or null if it carries no traffic
    */
-  Subscriptions(PeerNetwork network, LongSupplier desiredVersion, @Nullable Relaying relaying) {
+  Subscriptions(
+      PeerNetwork network, Supplier<OptionalLong> desiredVersion, @Nullable Relaying relaying) {
     this.network = network;
     this.desiredVersion = desiredVersion;
     this.relaying = relaying;
@@ -120,9 +124,11 @@
   }
 
   private Frame subscribeFrame(boolean fullUpdate, boolean wantsPeers) {
+    OptionalLong held = desiredVersion.get();
     Subscribe.Builder subscribe =
         Subscribe.newBuilder()
-            .setDesiredVersion(desiredVersion.getAsLong())
+            .setDesiredVersion(held.orElse(0))
+            .setHoldsDesired(held.isPresent())
             .setEverything(fullUpdate)
             .setAcceptsRenewals(true);
     if (relaying != null) {
--- a/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
+++ b/server/src/test/java/org/clementinesail/server/control/ReplicaDriverTest.java
@@ -154,6 +154,8 @@
     CompletableFuture<CommandResult> refused = driver.propose(lost);
     expectThrows(ExecutionException.class, () -> refused.get(TIMEOUT_S, TimeUnit.SECONDS));
     proposeVersion(3);
-    assertEquals(driver.read(state -> state.desiredDocument().version()).get(), Long.valueOf(3));
+    assertEquals(
+        driver.read(state -> state.desiredDocument().orElseThrow().version()).get(),
+        Long.valueOf(3));
   }
 }
--- a/server/src/test/java/org/clementinesail/server/nodes/SubscriptionsTest.java
+++ b/server/src/test/java/org/clementinesail/server/nodes/SubscriptionsTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.clementinesail.wire.PeerNetwork;
 import org.clementinesail.wire.SharedSecret;
@@ -19,7 +20,7 @@
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     PeerNetwork network =
         PeerNetwork.byAddress("e", null, new SharedSecret("secret"), (vm, frame) -> {}, group);
-    Subscriptions subscriptions = new Subscriptions(network, () -> 0L, null);
+    Subscriptions subscriptions = new Subscriptions(network, OptionalLong::empty, null);
     long now = System.nanoTime();
     assertTrue(subscriptions.requestUnknownStatements("c1", now));
     assertFalse(subscriptions.requestUnknownStatements("c2", now + 999_999_999L));
--- a/wire/src/main/java/org/clementinesail/wire/StateCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/StateCodec.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.UnsafeByteOperations;
+import java.util.Optional;
 import org.clementinesail.core.rules.RulesDelta;
 import org.clementinesail.core.rules.RulesText;
 import org.clementinesail.core.state.CallKey;
@@ -207,8 +208,8 @@
         StateImage.newBuilder()
             .setRulesNumber(contents.latestRules().number())
             .setRulesText(contents.latestRules().text())
-            .setClockMillis(contents.clockMillis())
-            .setDesired(encode(contents.desiredDocument()));
+            .setClockMillis(contents.clockMillis());
+    contents.desiredDocument().ifPresent(document -> out.setDesired(encode(document)));
     for (SystemState.AcceptedRules file : contents.acceptedRules()) {
       out.addAccepted(
           AcceptedFileImage.newBuilder()
@@ -242,12 +243,17 @@
                   .toList(),
               in.getClaimsList().stream().map(StateCodec::decode).toList(),
               in.getClockMillis(),
-              decode(in.getDesired())));
+              decodeHeld(in.getDesired())));
     } catch (InvalidProtocolBufferException e) {
       throw new CodecException("the state in a snapshot is not a protobuf StateImage", e);
     }
   }
 
+  /** Decodes the version of a snapshot; builds before wrote one without bytes if there was none. */
+  private static Optional<DesiredDocument> decodeHeld(DesiredImage in) {
+    return in.getDocument().isEmpty() ? Optional.empty() : Optional.of(decode(in));
+  }
+
   /**
    * Encodes a change of the rules.
    *
