Take a control VM out of the voters before it stops as planned

What callers saw: a control VM was replaced as planned, the successor first; another one lost its disk a second after the old one had ended. Cause: the successor is a fourth voter, and the VM that had stopped stayed one until it had been silent for 3.6 s. With one more disk lost, two of four voters were left. The stop told nobody that the replica goes. Change: a stopping replica says so until the leader confirms. The leader takes it out if the others tolerate as many losses without it, or exchanges it for a learner that waits, while it still votes. A restarted replica asks to join at once.

--- a/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
@@ -19,12 +19,31 @@
     long nextIndex;
     long matchIndex;
     long ackedSendTime;
+    private final long heardAt;
+    private long leavingUntil;
     private long sentSnapshot = NO_SNAPSHOT;
     private long snapshotRetryAt;
 
-    Progress(long nextIndex, long ackedSendTime) {
+    Progress(long nextIndex, long ackedSendTime, long heardAt) {
       this.nextIndex = nextIndex;
       this.ackedSendTime = ackedSendTime;
+      this.heardAt = heardAt;
+      this.leavingUntil = heardAt;
+    }
+
+    /** Returns when the follower last proved that it runs. */
+    long lastContact() {
+      return Math.max(ackedSendTime, heardAt);
+    }
+
+    /** Records that the follower stops as planned; void at the given time, if it still answers. */
+    void leavingUntil(long deadline) {
+      leavingUntil = deadline;
+    }
+
+    /** Returns whether the follower has said that it stops. */
+    boolean isLeaving(long now) {
+      return now - leavingUntil < 0;
     }
 
     /** Records that a snapshot was sent, to be repeated at the given time unless acknowledged. */
@@ -75,7 +94,8 @@
   }
 
   Progress progress(ReplicaId id, long initialNextIndex) {
-    return followers.computeIfAbsent(id, key -> new Progress(initialNextIndex, initialAckTime));
+    return followers.computeIfAbsent(
+        id, key -> new Progress(initialNextIndex, initialAckTime, electedAt));
   }
 
   /** Returns when this leader was elected, in nanoseconds of the monotonic clock. */
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
@@ -68,6 +68,10 @@
     return config.voters().contains(self);
   }
 
+  boolean isSoleVoter() {
+    return config.voters().equals(List.of(self));
+  }
+
   void saveVote(long newTerm, @Nullable ReplicaId vote) {
     term = newTerm;
     votedFor = vote;
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -40,6 +40,9 @@
   private final LagDetector lag;
   private long nextHelloAt;
   private boolean transferPending;
+  private boolean leaving;
+  private boolean leaveConfirmed;
+  private long nextLeaveAt;
 
   /**
    * Creates a replica from its stored state.
@@ -141,6 +144,9 @@
    */
   public void tick(long now) {
     lag.tick(now);
+    if (leaving) {
+      requestLeave(now);
+    }
     if (context.role == Role.BLANK) {
       findOrFormCluster(now);
     } else if (context.leaderState != null) {
@@ -149,7 +155,10 @@
       handOverIfDue(now);
     } else {
       elections.tick(now);
-      if (bootstrap.open() && isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now)) {
+      boolean alone =
+          !context.leaderSeenSinceStart
+              || isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now);
+      if (bootstrap.open() && alone && !leaving) {
         sendHellos(false, now);
       }
     }
@@ -199,10 +208,39 @@
     transferIfPossible(now);
   }
 
+  /**
+   * Prepares a planned stop of this replica, which goes on until it is closed: transfers leadership
+   * and asks the leader to exchange this replica or to do without it, until {@link #hasLeft}. A
+   * restart on the same disk ends this; the replica then joins again if it was taken out.
+   *
+   * @param now current time in nanoseconds
+   */
+  public void leave(long now) {
+    leaving = true;
+    nextLeaveAt = now;
+    requestLeave(now);
+  }
+
+  /** Returns whether this replica may stop after {@link #leave}, as no other waits for it. */
+  public boolean hasLeft() {
+    boolean needed = context.role != Role.BLANK && !context.isSoleVoter();
+    return leaving && (leaveConfirmed || !needed);
+  }
+
+  private void requestLeave(long now) {
+    if (context.leaderState != null) {
+      transferPending = true;
+    } else if (context.leader != null && !leaveConfirmed && now - nextLeaveAt >= 0) {
+      nextLeaveAt = now + context.timing.heartbeatNanos();
+      context.send(context.leader, context.term, new ReplicaMessage.Leave());
+    }
+  }
+
   /** Transfers leadership if a voter can be elected; returns whether it did. */
   private boolean transferIfPossible(long now) {
     LeaderState state = context.leaderState;
-    Optional<ReplicaId> successor = state == null ? Optional.empty() : voters.findSuccessor(state);
+    Optional<ReplicaId> successor =
+        state == null ? Optional.empty() : voters.findSuccessor(state, now);
     if (successor.isPresent()) {
       transferPending = false;
       context.becomeFollower(context.term, null, now);
@@ -260,6 +298,12 @@
       if (message.clusterId() == context.clusterId && context.leaderState != null) {
         voters.addLearner(context.leaderState, join.joiner(), join.blank(), now);
       }
+    } else if (body instanceof ReplicaMessage.Leave) {
+      if (message.clusterId() == context.clusterId && context.leaderState != null) {
+        voters.leave(context.leaderState, message.from(), now);
+      }
+    } else if (body instanceof ReplicaMessage.LeaveConfirmed) {
+      leaveConfirmed |= message.clusterId() == context.clusterId;
     } else if (body instanceof InitialConfig initial) {
       onInitialConfig(message, initial, now);
     } else if (context.role == Role.BLANK) {
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaMessage.java
@@ -30,6 +30,12 @@
    */
   public record Hello(boolean blank) implements Body {}
 
+  /** Tells the leader that the sender stops as planned; repeated until it is confirmed. */
+  public record Leave() implements Body {}
+
+  /** Answers a {@link Leave}: the receiver may stop, as the others do not wait for it. */
+  public record LeaveConfirmed() implements Body {}
+
   /**
    * Forwards to the leader that a replica wants to join.
    *
--- a/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
+++ b/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
@@ -8,14 +8,16 @@
 final class VoterChanges {
   // Voters and learners; more would slow down each commit and tolerate more failures than needed.
   private static final int MAX_MEMBERS = 7;
-  // A silent voter is removed only if this many voters remain; 3 tolerate one more failure.
+  // A lost voter is removed only if this many voters remain; 3 tolerate one more failure.
   private static final int MIN_VOTERS = 3;
-  // Maximum election timeouts without contact until a voter may be replaced.
-  private static final int SILENT_TIMEOUTS = 2;
   // Maximum election timeouts without an answer until no learner is promoted beside a voter.
   private static final int QUIET_TIMEOUTS = 1;
   // Maximum election timeouts without an answer until a voter is removed.
   private static final int REMOVAL_TIMEOUTS = 6;
+  // Heartbeat intervals that each voter has to answer a new leader before it counts as silent.
+  private static final int FIRST_ANSWER_HEARTBEATS = 3;
+  // Maximum election timeouts until a voter that has said that it stops must have stopped.
+  private static final int LEAVING_TIMEOUTS = 2;
 
   // Heartbeat intervals by which a voter that is asked to lead may have answered before the others.
   private static final int MAX_ACK_HEARTBEATS = 3;
@@ -31,12 +33,32 @@
   }
 
   void tick(LeaderState state, long now) {
-    removeSilentVoter(state, now);
+    removeLostVoter(state, now);
     promoteLearner(state, now);
   }
 
-  /** Returns a voter that answers and holds all entries, so that it can be elected. */
-  Optional<ReplicaId> findSuccessor(LeaderState state) {
+  /**
+   * Handles the message of a replica that stops as planned: exchanges it for a replica that waits,
+   * or takes it out of the voters if the others tolerate as many losses without it. Confirms once
+   * there is nothing left to do, so that it stops only when it counts no more.
+   */
+  void leave(LeaderState state, ReplicaId leaver, long now) {
+    if (context.config.members().contains(leaver)) {
+      long stoppedBy = now + timeouts(LEAVING_TIMEOUTS);
+      state.progress(leaver, 0).leavingUntil(stoppedBy);
+      tick(state, now);
+    }
+    boolean mayBeExchanged =
+        context.config.voters().contains(leaver)
+            ? !context.config.learners().isEmpty()
+            : replication.findCaughtUpLearner(state).isPresent();
+    if (context.canReconfigure() && !mayBeExchanged) {
+      context.send(leaver, context.term, new ReplicaMessage.LeaveConfirmed());
+    }
+  }
+
+  /** Returns a voter that answers, stays and holds all entries, so that it can be elected. */
+  Optional<ReplicaId> findSuccessor(LeaderState state, long now) {
     List<ReplicaId> others =
         context.config.voters().stream().filter(id -> !id.equals(context.self)).toList();
     // Measured from the newest answer, as a slow leader is late to hear all of them.
@@ -49,10 +71,14 @@
     return others.stream()
         .filter(id -> state.progress(id, 0).matchIndex >= context.log.lastIndex())
         .filter(id -> state.progress(id, 0).ackedSendTime - oldestAck >= 0)
+        .filter(id -> !state.progress(id, 0).isLeaving(now))
         .max(Comparator.comparingLong(id -> state.progress(id, 0).ackedSendTime - oldestAck));
   }
 
-  /** Adds a replica as a learner, replacing a replica on the same VM or a silent voter. */
+  /**
+   * Adds a replica as a learner, without the replica on the same VM; one too many replaces a lost
+   * voter.
+   */
   void addLearner(LeaderState state, ReplicaId joiner, boolean blank, long now) {
     if (context.config.members().contains(joiner)) {
       if (blank) {
@@ -64,30 +90,31 @@
       return;
     }
     ReplicaConfig next = context.config.withLearner(joiner);
-    if (next.voters().size() == context.config.voters().size()) {
-      Optional<ReplicaId> silent = findSilentVoter(state, SILENT_TIMEOUTS, now);
-      if (silent.isPresent()) {
-        next = next.without(silent.get());
-      } else if (next.members().size() > MAX_MEMBERS) {
+    boolean replacesVoter = next.voters().size() < context.config.voters().size();
+    if (!replacesVoter && next.members().size() > MAX_MEMBERS) {
+      Optional<ReplicaId> lost = findLostVoter(state, context.timing.replacementNanos(), now);
+      if (lost.isEmpty()) {
         return;
       }
+      next = next.without(lost.get());
     }
     replication.reconfigure(next);
   }
 
   /**
-   * Removes a silent voter if {@link #MIN_VOTERS} remain: soon if the others tolerate more losses
-   * without the silent voters than with them, else after {@link #REMOVAL_TIMEOUTS}.
+   * Removes a lost voter if {@link #MIN_VOTERS} remain: soon if the others tolerate more losses
+   * without the lost voters than with them, else after {@link #REMOVAL_TIMEOUTS}.
    */
-  private void removeSilentVoter(LeaderState state, long now) {
+  private void removeLostVoter(LeaderState state, long now) {
     int voters = context.config.voters().size();
     if (!bootstrap.open() || voters <= MIN_VOTERS || !context.canReconfigure()) {
       return;
     }
-    int live = voters - silentVoters(state, SILENT_TIMEOUTS, now).size();
+    long replacementNanos = context.timing.replacementNanos();
+    int live = voters - lostVoters(state, replacementNanos, now).size();
     boolean improves = live >= MIN_VOTERS && live / 2 + 1 < context.config.quorum();
-    findSilentVoter(state, improves ? SILENT_TIMEOUTS : REMOVAL_TIMEOUTS, now)
-        .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
+    findLostVoter(state, improves ? replacementNanos : timeouts(REMOVAL_TIMEOUTS), now)
+        .ifPresent(lost -> replication.reconfigure(context.config.without(lost)));
   }
 
   /**
@@ -103,31 +130,34 @@
     if (learner.isEmpty()) {
       return;
     }
-    if (findSilentVoter(state, QUIET_TIMEOUTS, now).isEmpty()) {
+    if (findLostVoter(state, timeouts(QUIET_TIMEOUTS), now).isEmpty()) {
       replication.reconfigure(context.config.withPromoted(learner.get()));
     } else if (bootstrap.open()) {
-      findSilentVoter(state, SILENT_TIMEOUTS, now)
-          .ifPresent(silent -> replication.reconfigure(context.config.without(silent)));
+      findLostVoter(state, context.timing.replacementNanos(), now)
+          .ifPresent(lost -> replication.reconfigure(context.config.without(lost)));
     }
   }
 
-  private Optional<ReplicaId> findSilentVoter(LeaderState state, int timeouts, long now) {
-    return silentVoters(state, timeouts, now).stream().findFirst();
+  private Optional<ReplicaId> findLostVoter(LeaderState state, long silenceNanos, long now) {
+    return lostVoters(state, silenceNanos, now).stream().findFirst();
   }
 
-  private List<ReplicaId> silentVoters(LeaderState state, int timeouts, long now) {
+  /** Returns the voters that stop as planned or have been silent for longer than the given time. */
+  private List<ReplicaId> lostVoters(LeaderState state, long silenceNanos, long now) {
+    long firstAnswer = FIRST_ANSWER_HEARTBEATS * context.timing.heartbeatNanos();
+    boolean answersDue = now - state.electedAt() > firstAnswer;
     return context.config.voters().stream()
         .filter(id -> !id.equals(context.self))
         .filter(
-            id ->
-                isSilent(
-                    Math.max(state.electedAt(), state.progress(id, 0).ackedSendTime),
-                    timeouts,
-                    now))
+            id -> {
+              LeaderState.Progress progress = state.progress(id, 0);
+              return progress.isLeaving(now)
+                  || (answersDue && now - progress.lastContact() > silenceNanos);
+            })
         .toList();
   }
 
-  private boolean isSilent(long lastContact, int timeouts, long now) {
-    return now - lastContact > timeouts * context.timing.maxElectionTimeoutNanos();
+  private long timeouts(int count) {
+    return count * context.timing.maxElectionTimeoutNanos();
   }
 }
--- a/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
@@ -23,6 +23,7 @@
           TimeUnit.MILLISECONDS.toNanos(50),
           TimeUnit.MILLISECONDS.toNanos(300),
           TimeUnit.MILLISECONDS.toNanos(600),
+          TimeUnit.MILLISECONDS.toNanos(700),
           10);
   private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
--- a/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
+++ b/server/src/main/java/org/clementinesail/server/control/ReplicaDriver.java
@@ -72,6 +72,7 @@
   private volatile ReplicaStatus status = ReplicaStatus.NONE;
   private volatile @Nullable List<String> newSeeds;
   private volatile boolean stopping;
+  private final CompletableFuture<Void> left = new CompletableFuture<>();
 
   /**
    * Creates a driver; {@link #start} opens and runs the replica.
@@ -163,6 +164,17 @@
     submit((open, now) -> open.core().transferLeadership(now));
   }
 
+  /**
+   * Prepares a planned stop: transfers leadership, and leaves the voters where the others tolerate
+   * as many losses without this replica.
+   *
+   * @return completed once the others do not wait for this replica; never if no leader is reached
+   */
+  public CompletableFuture<Void> leave() {
+    submit((open, now) -> open.core().leave(now));
+    return left;
+  }
+
   @Override
   public void close() {
     stopping = true;
@@ -274,6 +286,9 @@
     long now = System.nanoTime();
     open.process(batch, now);
     status = open.status(now);
+    if (open.core().hasLeft()) {
+      left.complete(null);
+    }
     open.notifyAccepted();
     batch.clear();
     open.compactIfDue();
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -12,7 +12,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.clementinesail.core.desired.DesiredState;
 import org.clementinesail.core.fleet.Fleet;
 import org.clementinesail.core.replication.Membership;
@@ -73,8 +75,8 @@
   /** Largest document that operators send, and room for its headers. */
   private static final int MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 
-  /** How long a stopping leader waits for its successor to be elected. */
-  private static final long LEADERSHIP_TRANSFER_MS = 700;
+  /** How long a stopping VM waits until the others do without it, at most half of its grace. */
+  private static final long MAX_LEAVE_MS = 2_000;
 
   private final NodeSettings settings;
   private final Dialect dialect;
@@ -307,21 +309,28 @@
   public void stop() {
     log.write("stopping");
     ReplicaDriver driver = replica;
-    try {
-      if (driver != null && isLeader()) {
-        driver.transferLeadership();
-        TimeUnit.MILLISECONDS.sleep(LEADERSHIP_TRANSFER_MS);
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
     if (driver != null) {
+      leave(driver);
       driver.close();
     }
     network.close();
     log.write("stopped");
   }
 
+  private void leave(ReplicaDriver driver) {
+    long waitMillis = Math.min(MAX_LEAVE_MS, settings.graceMillis() / 2);
+    try {
+      driver.leave().get(waitMillis, TimeUnit.MILLISECONDS);
+      log.write("left", "voters", driver.status().voters());
+    } catch (TimeoutException e) {
+      log.write("stops without leaving", "leader", driver.status().leaderVm());
+    } catch (ExecutionException e) {
+      throw new AssertionError("leaving never fails", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Handles frames from other VMs. */
   private final class FrameListener implements PeerListener {
     @Override
--- a/wire/src/main/java/org/clementinesail/wire/ReplicaCodec.java
+++ b/wire/src/main/java/org/clementinesail/wire/ReplicaCodec.java
@@ -43,6 +43,10 @@
   private static void encodeBody(ReplicaMessage.Body body, ReplicaEnvelope.Builder out) {
     if (body instanceof ReplicaMessage.Hello b) {
       out.setHello(Hello.newBuilder().setBlank(b.blank()));
+    } else if (body instanceof ReplicaMessage.Leave) {
+      out.setHello(Hello.newBuilder().setLeaving(true));
+    } else if (body instanceof ReplicaMessage.LeaveConfirmed) {
+      out.setHello(Hello.newBuilder().setLeaveConfirmed(true));
     } else if (body instanceof ReplicaMessage.InitialConfig b) {
       out.setGenesis(encode(b.config()));
     } else if (body instanceof ReplicaMessage.PreVote b) {
@@ -81,7 +85,7 @@
 
   private static ReplicaMessage.Body decodeBody(ReplicaEnvelope in) {
     return switch (in.getBodyCase()) {
-      case HELLO -> new ReplicaMessage.Hello(in.getHello().getBlank());
+      case HELLO -> decode(in.getHello());
       case GENESIS -> new ReplicaMessage.InitialConfig(decode(in.getGenesis()));
       case PRE_VOTE ->
           new ReplicaMessage.PreVote(in.getPreVote().getLastIndex(), in.getPreVote().getLastTerm());
@@ -108,6 +112,16 @@
     };
   }
 
+  /** Decodes a Hello, or what builds before this one read as the Hello of a replica with state. */
+  private static ReplicaMessage.Body decode(Hello in) {
+    if (in.getLeaving()) {
+      return new ReplicaMessage.Leave();
+    }
+    return in.getLeaveConfirmed()
+        ? new ReplicaMessage.LeaveConfirmed()
+        : new ReplicaMessage.Hello(in.getBlank());
+  }
+
   /**
    * Encodes a log entry.
    *
