Exchange a lost leader within the stated time to catch up

Cause: a voter was exchanged after 3.6 s of silence whatever the settings state, and a new leader counted the silence of the former one from its own election. Change: catch_up_s is read from the settings, and half of it is the silence after which a voter may be exchanged for a replica that waits. A new leader counts the silence of the former one from when it last heard it.

--- a/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
@@ -98,6 +98,14 @@
         id, key -> new Progress(initialNextIndex, initialAckTime, electedAt));
   }
 
+  /**
+   * Takes over when this replica last heard the leader before it, so that the loss of a leader is
+   * noticed no later than that of a follower.
+   */
+  void formerLeader(ReplicaId id, long initialNextIndex, long heardAt) {
+    followers.put(id, new Progress(initialNextIndex, initialAckTime, heardAt));
+  }
+
   /** Returns when this leader was elected, in nanoseconds of the monotonic clock. */
   long electedAt() {
     return electedAt;
--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -25,6 +25,10 @@
     context.leaderSeenSinceStart = true;
     long next = context.log.lastIndex() + 1;
     LeaderState leaderState = new LeaderState(now, context.timing.leaseNanos());
+    ReplicaId former = context.lastFollowed;
+    if (former != null) {
+      leaderState.formerLeader(former, next, context.lastLeaderContact);
+    }
     for (ReplicaId member : context.config.members()) {
       leaderState.progress(member, next);
     }
@@ -139,6 +143,7 @@
     if (context.role == Role.BLANK) {
       context.reset(message.clusterId(), install.snapshot(), now);
       context.becomeFollower(message.term(), message.from(), now);
+      context.lastFollowed = message.from();
       context.lastLeaderContact = now;
       context.leaderSeenSinceStart = true;
     } else {
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
@@ -19,6 +19,7 @@
   long commitIndex;
   Role role;
   @Nullable ReplicaId leader;
+  @Nullable ReplicaId lastFollowed;
   @Nullable LeaderState leaderState;
   long lastLeaderContact;
   boolean leaderSeenSinceStart;
@@ -123,6 +124,7 @@
     if (role != Role.FOLLOWER || !from.equals(leader)) {
       becomeFollower(term, from, now);
     }
+    lastFollowed = from;
     lastLeaderContact = now;
     resetElectionDeadline(now);
   }
--- a/core/src/main/java/org/clementinesail/core/replication/Timing.java
+++ b/core/src/main/java/org/clementinesail/core/replication/Timing.java
@@ -38,6 +38,20 @@
         maxDriftPerMille);
   }
 
+  /**
+   * Returns a timing in which a voter may be exchanged after another time without contact.
+   *
+   * @param nanos the time; raised to the longest election timeout if it is shorter
+   */
+  public Timing withReplacement(long nanos) {
+    return new Timing(
+        heartbeatNanos,
+        minElectionTimeoutNanos,
+        maxElectionTimeoutNanos,
+        Math.max(nanos, maxElectionTimeoutNanos),
+        maxDriftPerMille);
+  }
+
   /**
    * Returns the lease duration in nanoseconds: the minimum election timeout less the clock drift,
    * counted from when the messages that a majority acknowledged were sent.
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -11,6 +13,7 @@
 public class ReplicaReplacementTest {
   private static final int JOIN_MILLIS = 3_000;
   private static final int RECOVERY_MILLIS = 6_000;
+  private static final int CATCH_UP_MILLIS = 4_000;
 
   /** Seeds of random election timeouts and message delays. */
   @DataProvider
@@ -142,4 +145,46 @@
         cluster.nodes.keySet().stream().filter(vm -> !cluster.core(vm).hasLeft()).count();
     assertTrue(waiting <= 1, waiting + " VMs wait for the others");
   }
+
+  /** Which VM is lost, and how long after its successor has started that one has its first step. */
+  @DataProvider
+  public Object[][] lostVms() {
+    List<Object[]> cases = new ArrayList<>();
+    for (long seed = 1; seed <= 20; seed++) {
+      for (int startMillis : List.of(300, 2_000)) {
+        cases.add(new Object[] {seed, true, startMillis});
+        cases.add(new Object[] {seed, false, startMillis});
+      }
+    }
+    return cases.toArray(Object[][]::new);
+  }
+
+  /**
+   * Guards against a lost VM, the leader above all, that still counts when its successor has had
+   * the time to catch up that the settings state, here 4 s, though that one was slow to start.
+   */
+  @Test(dataProvider = "lostVms")
+  public void successorCountsWithinItsTimeToCatchUp(long seed, boolean leader, int startMillis) {
+    Timing timing =
+        new Timing(
+                TimeUnit.MILLISECONDS.toNanos(200),
+                TimeUnit.MILLISECONDS.toNanos(1_000),
+                TimeUnit.MILLISECONDS.toNanos(1_800),
+                10)
+            .withReplacement(TimeUnit.MILLISECONDS.toNanos(CATCH_UP_MILLIS / 2));
+    SimulatedCluster cluster = new SimulatedCluster(seed, true, timing, "a", "b", "c");
+    cluster.lossProbability = 0.02;
+    cluster.run(RECOVERY_MILLIS);
+    String lost = leader ? cluster.awaitLeader().vm : follower(cluster);
+    cluster.kill(lost);
+    cluster.run(1_000 + startMillis);
+    cluster.add("d");
+    cluster.run(CATCH_UP_MILLIS - startMillis);
+    List<String> voters =
+        cluster.core(cluster.awaitLeader().vm).config().voters().stream()
+            .map(ReplicaId::vm)
+            .toList();
+    assertEquals(voters.size(), 3, voters.toString());
+    assertTrue(voters.contains("d") && !voters.contains(lost), voters.toString());
+  }
 }
--- a/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
+++ b/core/src/test/java/org/clementinesail/core/replication/SimulatedCluster.java
@@ -60,6 +60,7 @@
   private final Random random;
   private final List<String> initialMembers;
   private final boolean open;
+  private final Timing timing;
   private long now = TimeUnit.SECONDS.toNanos(100);
 
   SimulatedCluster(long seed, String... vms) {
@@ -68,7 +69,13 @@
 
   /** Forms a cluster that other VMs may join if it is open. */
   SimulatedCluster(long seed, boolean open, String... vms) {
+    this(seed, open, TIMING, vms);
+  }
+
+  /** Forms a cluster with other times than the short ones of most tests. */
+  SimulatedCluster(long seed, boolean open, Timing timing, String... vms) {
     this.random = new Random(seed);
+    this.timing = timing;
     this.initialMembers = List.of(vms);
     this.open = open;
     for (String vm : vms) {
@@ -85,7 +92,7 @@
     Node node = nodes.get(vm);
     node.core =
         new ReplicaCore(
-            new ReplicaId(vm, node.diskId), membership(node), node.disk, TIMING, random, now);
+            new ReplicaId(vm, node.diskId), membership(node), node.disk, timing, random, now);
     node.appliedIndex = node.disk.snapshot().index();
     handleOutputs(node);
   }
--- a/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/ControlNode.java
@@ -61,16 +61,16 @@
  */
 public final class ControlNode implements Node {
   /**
-   * Heartbeats every 200 ms, elections after 1.0 to 1.8 s without a leader, clock drift of at most
-   * 10 per mille. The times allow for VMs with a fraction of a core, whose disk writes may take 60
-   * ms.
+   * Heartbeats every 200 ms and elections after 1.0 to 1.8 s without a leader. The times allow for
+   * VMs with a fraction of a core, whose disk writes may take 60 ms.
    */
-  private static final Timing TIMING =
-      new Timing(
-          TimeUnit.MILLISECONDS.toNanos(200),
-          TimeUnit.MILLISECONDS.toNanos(1_000),
-          TimeUnit.MILLISECONDS.toNanos(1_800),
-          10);
+  private static final long HEARTBEAT_MS = 200;
+
+  private static final long MIN_ELECTION_TIMEOUT_MS = 1_000;
+  private static final long MAX_ELECTION_TIMEOUT_MS = 1_800;
+
+  /** Largest difference in speed of the clocks of two VMs, in thousandths. */
+  private static final int MAX_DRIFT_PER_MILLE = 10;
 
   /** Largest document that operators send, and room for its headers. */
   private static final int MAX_BODY_BYTES = 8 * 1_024 * 1_024;
@@ -209,11 +209,27 @@
                 new ReplicaId(localVm, open.diskId()),
                 new Membership(initialVoters, settings.seeds(), true),
                 open.loadedState(),
-                TIMING,
+                timing(settings.catchUpMillis()),
                 new SecureRandom(),
                 System.nanoTime()));
   }
 
+  /**
+   * Returns the timing of a replica. A lost VM must be noticed and its successor must hold the
+   * state and count within the time stated for it, of which either gets a half.
+   */
+  static Timing timing(long catchUpMillis) {
+    Timing timing =
+        new Timing(
+            TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS),
+            TimeUnit.MILLISECONDS.toNanos(MIN_ELECTION_TIMEOUT_MS),
+            TimeUnit.MILLISECONDS.toNanos(MAX_ELECTION_TIMEOUT_MS),
+            MAX_DRIFT_PER_MILLE);
+    return catchUpMillis == 0
+        ? timing
+        : timing.withReplacement(TimeUnit.MILLISECONDS.toNanos(catchUpMillis / 2));
+  }
+
   /** Handles state accepted by the replicas; called on the replica's thread. */
   private final class AcceptedStateListener implements ReplicaDriver.StateListener {
     @Override
--- a/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
+++ b/server/src/main/java/org/clementinesail/server/nodes/NodeSettings.java
@@ -24,6 +24,8 @@
  *     may be null
  * @param heartbeatMillis interval between two heartbeats of a target, in milliseconds
  * @param graceMillis time from the stop signal until the process is killed, in milliseconds
+ * @param catchUpMillis time from the start of a control VM without state until it must count in
+ *     place of the one that it succeeds, in milliseconds; 0 if no limit is stated
  * @param retryRatio limit on retries per request to a service; an entry VM uses at most half of it
  * @param retryAllowance limit on retries to a service beyond the ratio, for all VMs together; entry
  *     VMs use at most half of it
@@ -43,6 +45,7 @@
     @Nullable InetSocketAddress apiAddress,
     long heartbeatMillis,
     long graceMillis,
+    long catchUpMillis,
     double retryRatio,
     double retryAllowance,
     ClientLimits clientLimits,
