--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -4,8 +4,6 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.clementinesail.core.limits.LagDetector;
-import org.clementinesail.core.replication.ReplicaMessage.InitialConfig;
-import org.clementinesail.core.replication.ReplicaMessage.JoinRequest;
 
 /**
  * One replica of the replicated log as a state machine that does no I/O itself.
@@ -26,9 +24,6 @@
   private static final int ENTRIES_KEPT_BEFORE_SNAPSHOT = 256;
   // Sum of their commands: of large ones fewer are kept, as the snapshot is no larger then.
   private static final long BYTES_KEPT_BEFORE_SNAPSHOT = 4L * 1_024 * 1_024;
-  private static final int HELLO_INTERVAL_HEARTBEATS = 3;
-  // Maximum election timeouts without contact until Hellos are sent.
-  private static final int SILENT_TIMEOUTS = 2;
   // Heartbeat intervals that a leader may be late by within two seconds.
   private static final int MAX_LATE_HEARTBEATS = 3;
 
@@ -37,12 +32,9 @@
   private final Elections elections;
   private final ClusterBootstrap bootstrap;
   private final VoterChanges voters;
+  private final ClusterEntry entry;
   private final LagDetector lag;
-  private long nextHelloAt;
   private boolean transferPending;
-  private boolean leaving;
-  private boolean leaveConfirmed;
-  private long nextLeaveAt;
 
   /**
    * Creates a replica from its stored state.
@@ -66,6 +58,7 @@
     this.elections = new Elections(context, replication);
     this.bootstrap = new ClusterBootstrap(self, membership);
     this.voters = new VoterChanges(context, replication, bootstrap);
+    this.entry = new ClusterEntry(context, bootstrap, voters);
     this.lag =
         new LagDetector(timing.heartbeatNanos(), MAX_LATE_HEARTBEATS * timing.heartbeatNanos());
   }
@@ -144,23 +137,17 @@
    */
   public void tick(long now) {
     lag.tick(now);
-    if (leaving) {
-      requestLeave(now);
-    }
+    transferPending |= entry.isLeaving();
+    entry.requestLeave(now);
     if (context.role == Role.BLANK) {
-      findOrFormCluster(now);
+      entry.findOrFormCluster(now);
     } else if (context.leaderState != null) {
       replication.tickLeader(context.leaderState, now);
       voters.tick(context.leaderState, now);
       handOverIfDue(now);
     } else {
       elections.tick(now);
-      boolean alone =
-          !context.leaderSeenSinceStart
-              || isSilent(context.lastLeaderContact, SILENT_TIMEOUTS, now);
-      if (bootstrap.open() && alone && !leaving) {
-        sendHellos(false, now);
-      }
+      entry.rejoinIfAlone(now);
     }
   }
 
@@ -216,24 +203,13 @@
    * @param now current time in nanoseconds
    */
   public void leave(long now) {
-    leaving = true;
-    nextLeaveAt = now;
-    requestLeave(now);
+    entry.leave(now);
+    entry.requestLeave(now);
   }
 
   /** Returns whether this replica may stop after {@link #leave}, as no other waits for it. */
   public boolean hasLeft() {
-    boolean needed = context.role != Role.BLANK && !context.isSoleVoter();
-    return leaving && (leaveConfirmed || !needed);
-  }
-
-  private void requestLeave(long now) {
-    if (context.leaderState != null) {
-      transferPending = true;
-    } else if (context.leader != null && !leaveConfirmed && now - nextLeaveAt >= 0) {
-      nextLeaveAt = now + context.timing.heartbeatNanos();
-      context.send(context.leader, context.term, new ReplicaMessage.Leave());
-    }
+    return entry.hasLeft();
   }
 
   /** Transfers leadership if a voter can be elected; returns whether it did. */
@@ -286,32 +262,18 @@
     }
     if (to.diskId() != 0 && to.diskId() != context.self.diskId()) {
       if (context.role == Role.BLANK) {
-        // The sender counts on the disk that this VM has lost, and may know no seed of this VM.
-        context.send(message.from(), context.term, new ReplicaMessage.Hello(true));
+        entry.sayBlank(message);
       }
       return;
     }
-    ReplicaMessage.Body body = message.body();
-    if (body instanceof ReplicaMessage.Hello hello) {
-      onHello(message, hello, now);
-    } else if (body instanceof JoinRequest join) {
-      if (message.clusterId() == context.clusterId && context.leaderState != null) {
-        voters.addLearner(context.leaderState, join.joiner(), join.blank(), now);
-      }
-    } else if (body instanceof ReplicaMessage.Leave) {
-      if (message.clusterId() == context.clusterId && context.leaderState != null) {
-        voters.leave(context.leaderState, message.from(), now);
-      }
-    } else if (body instanceof ReplicaMessage.LeaveConfirmed) {
-      leaveConfirmed |= message.clusterId() == context.clusterId;
-    } else if (body instanceof InitialConfig initial) {
-      onInitialConfig(message, initial, now);
-    } else if (context.role == Role.BLANK) {
-      if (body instanceof ReplicaMessage.InstallSnapshot install) {
+    if (entry.receive(message, now)) {
+      return;
+    }
+    if (context.role == Role.BLANK) {
+      if (message.body() instanceof ReplicaMessage.InstallSnapshot install) {
         replication.onInstallSnapshot(message, install, now);
       } else {
-        // The sender takes this replica for a member with state, so a snapshot was lost.
-        context.send(message.from(), context.term, new ReplicaMessage.Hello(true));
+        entry.sayBlank(message);
       }
     } else if (message.clusterId() == context.clusterId) {
       receiveFromMember(message, now);
@@ -362,66 +324,4 @@
       elections.startElection(true, now);
     }
   }
-
-  private void findOrFormCluster(long now) {
-    sendHellos(true, now);
-    bootstrap.initialConfig(now).ifPresent(initialConfig -> formCluster(initialConfig, now));
-  }
-
-  private void sendHellos(boolean blank, long now) {
-    if (now < nextHelloAt) {
-      return;
-    }
-    nextHelloAt = now + HELLO_INTERVAL_HEARTBEATS * context.timing.heartbeatNanos();
-    for (String vm : bootstrap.helloRecipients()) {
-      context.send(new ReplicaId(vm, 0), context.term, new ReplicaMessage.Hello(blank));
-    }
-  }
-
-  private void formCluster(ReplicaConfig initialConfig, long now) {
-    long clusterId;
-    do {
-      clusterId = context.random.nextLong();
-    } while (clusterId == 0);
-    context.reset(clusterId, new Snapshot(0, 0, initialConfig, new byte[0]), now);
-    for (ReplicaId member : initialConfig.voters()) {
-      if (!member.equals(context.self)) {
-        context.send(member, 0, new InitialConfig(initialConfig));
-      }
-    }
-  }
-
-  private void onInitialConfig(ReplicaMessage message, InitialConfig initial, long now) {
-    if (context.role == Role.BLANK && initial.config().voters().contains(context.self)) {
-      context.reset(message.clusterId(), new Snapshot(0, 0, initial.config(), new byte[0]), now);
-    }
-  }
-
-  private void onHello(ReplicaMessage message, ReplicaMessage.Hello hello, long now) {
-    ReplicaId from = message.from();
-    bootstrap.recordHello(from, hello.blank(), now);
-    boolean mayRejoin = bootstrap.open() && message.clusterId() == context.clusterId;
-    if (context.role == Role.BLANK || (!hello.blank() && !mayRejoin)) {
-      return;
-    }
-    boolean member = context.config.members().contains(from);
-    if (hello.blank()) {
-      context.send(from, context.term, new ReplicaMessage.Hello(false));
-    } else if (member) {
-      return;
-    }
-    Snapshot snapshot = context.log.snapshot();
-    if (context.leaderState != null) {
-      voters.addLearner(context.leaderState, from, hello.blank(), now);
-    } else if (snapshot.index() == 0 && snapshot.config().voters().contains(from)) {
-      context.send(from, context.term, new InitialConfig(snapshot.config()));
-    } else if ((member || bootstrap.open()) && context.leader != null) {
-      // Also for a member: until it has state, the leader does not know that it is to be sent any.
-      context.send(context.leader, context.term, new JoinRequest(from, hello.blank()));
-    }
-  }
-
-  private boolean isSilent(long lastContact, int timeouts, long now) {
-    return now - lastContact > timeouts * context.timing.maxElectionTimeoutNanos();
-  }
 }
