Let a removed VM rejoin through a seed that follows

What callers saw: nothing yet; found by a random simulation. A control VM that had been one of the initial members, was cut off and taken out, never became a member again if it reached followers only. Cause: since a follower sends the initial configuration to each VM that it names, in place of forwarding the Hello, also to one with state, which ignores it. Change: only a blank VM gets the initial configuration.

--- a/core/src/main/java/org/clementinesail/core/replication/ClusterEntry.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ClusterEntry.java
@@ -145,7 +145,9 @@
     Snapshot snapshot = context.log.snapshot();
     if (context.leaderState != null) {
       voters.addLearner(context.leaderState, from, hello.blank(), now);
-    } else if (snapshot.index() == 0 && snapshot.config().voters().contains(from)) {
+    } else if (hello.blank()
+        && snapshot.index() == 0
+        && snapshot.config().voters().contains(from)) {
       context.send(from, context.term, new InitialConfig(snapshot.config()));
     } else if ((member || bootstrap.open()) && context.leader != null) {
       // Also for a member: until it has state, the leader does not know that it is to be sent any.
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaMembershipTest.java
@@ -85,6 +85,25 @@
     assertTrue(voters(cluster).contains("c"), voters(cluster).toString());
   }
 
+  /**
+   * Guards against a seed that takes a VM with state, which was one of the initial members, for a
+   * blank one, and so never forwards that it wants to join again.
+   */
+  @Test(dataProvider = "seeds")
+  public void replacedVmRejoinsThroughSeedsThatFollow(long seed) {
+    SimulatedCluster cluster = cluster(seed);
+    String replaced = cluster.awaitLeader().vm.equals("c") ? "b" : "c";
+    cluster.isolate(replaced);
+    cluster.add("d");
+    cluster.run(RECONFIGURATION_MILLIS);
+    cluster.restoreLinks();
+    String leader = cluster.awaitLeader().vm;
+    cluster.cut(replaced, leader);
+    cluster.run(RECONFIGURATION_MILLIS);
+    ReplicaConfig config = cluster.core(leader).config();
+    assertTrue(config.byVm(replaced).isPresent(), "never a member again: " + config);
+  }
+
   /** A wiped VM forms no second cluster and becomes a voter again. */
   @Test(dataProvider = "seeds")
   public void wipedVmBecomesVoterAgain(long seed) {
