Go on with half of the voters after a disk is lost for certain

Cause: only majorities counted, though a voter whose VM is back with a blank disk never votes again. Half of an even number of the voters shares one with each majority, and any two halves of the others share one. Change: such a half elects, commits and confirms reads, if the configuration is known to be committed; the lost voters are fixed for the term, which rises by 1,000; a change of the configuration is committed by the voters before it too. Nothing new on the wire or on disk.

--- a/core/src/main/java/org/clementinesail/core/replication/ClusterEntry.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ClusterEntry.java
@@ -136,6 +136,9 @@
     if (context.role == Role.BLANK || (!hello.blank() && !mayRejoin)) {
       return;
     }
+    if (hello.blank()) {
+      context.lostDisks.recordBlank(from);
+    }
     boolean member = context.config.members().contains(from);
     if (hello.blank()) {
       context.send(from, context.term, new ReplicaMessage.Hello(false));
--- a/core/src/main/java/org/clementinesail/core/replication/Elections.java
+++ b/core/src/main/java/org/clementinesail/core/replication/Elections.java
@@ -7,6 +7,9 @@
 
 /** Handles pre-votes, votes and leadership transfer. */
 final class Elections {
+  // More than the elections that a replica can have won pre-votes for without this one's knowledge.
+  private static final long LOST_VOTERS_TERM_STEP = 1_000;
+
   private final ReplicaContext context;
   private final LogReplication replication;
   private final Set<ReplicaId> grantedVotes = new HashSet<>();
@@ -48,8 +51,8 @@
     }
     context.role = Role.CANDIDATE;
     context.leader = null;
-    context.saveVote(context.term + 1, context.self);
     resetVotes(now);
+    context.saveVote(context.term + termStep(), context.self);
     if (hasMajority()) {
       replication.becomeLeader(now);
       return;
@@ -59,6 +62,15 @@
         context.term, new ReplicaMessage.Vote(log.lastIndex(), log.lastTerm(), transfer));
   }
 
+  /**
+   * Returns by how much an election raises the term. If voters count for nothing because their
+   * disks are lost, their votes for others may still be on the way; the term is then above those
+   * that they can have voted in.
+   */
+  private long termStep() {
+    return context.knowsLostVoters() ? LOST_VOTERS_TERM_STEP : 1;
+  }
+
   void onPreVote(ReplicaMessage message, ReplicaMessage.PreVote request, long now) {
     boolean refusedBefore = mayHaveLeader(now);
     if (message.term() > context.term) {
@@ -129,19 +141,18 @@
   }
 
   private void resetVotes(long now) {
+    context.fixLostVoters();
     grantedVotes.clear();
     grantedVotes.add(context.self);
     context.resetElectionDeadline(now);
   }
 
   private void recordGrant(ReplicaId from) {
-    if (context.config.voters().contains(from)) {
-      grantedVotes.add(from);
-    }
+    grantedVotes.add(from);
   }
 
   private boolean hasMajority() {
-    return grantedVotes.size() >= context.config.quorum();
+    return context.electionQuorum().isReached(grantedVotes::contains);
   }
 
   private boolean mayHaveLeader(long now) {
--- a/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LeaderState.java
@@ -1,11 +1,11 @@
 package org.clementinesail.core.replication;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 
 /** State that exists only on the leader: followers, heartbeat rounds and pending reads. */
 final class LeaderState {
@@ -149,48 +149,49 @@
     }
   }
 
-  /** Returns the latest time such that a majority acknowledged a round sent at or after it. */
-  long majoritySendTime(ReplicaConfig config, ReplicaId self, long now) {
-    List<Long> times = new ArrayList<>();
-    for (ReplicaId voter : config.voters()) {
-      Progress progress = followers.get(voter);
-      if (voter.equals(self)) {
-        times.add(now);
-      } else {
-        times.add(progress == null ? initialAckTime : progress.ackedSendTime);
-      }
-    }
-    times.sort(Collections.reverseOrder());
-    return times.isEmpty() ? initialAckTime : times.get(config.quorum() - 1);
-  }
-
-  /** Returns the highest index that a majority has synced to disk. */
-  long majorityMatchIndex(ReplicaConfig config, ReplicaId self, long ownLastIndex) {
-    List<Long> matches = new ArrayList<>();
-    for (ReplicaId voter : config.voters()) {
-      Progress progress = followers.get(voter);
-      if (voter.equals(self)) {
-        matches.add(ownLastIndex);
-      } else {
-        matches.add(progress == null ? 0 : progress.matchIndex);
-      }
-    }
-    matches.sort(Collections.reverseOrder());
-    return matches.isEmpty() ? 0 : matches.get(config.quorum() - 1);
+  /**
+   * Returns the latest time such that each quorum acknowledged a round sent at or after it.
+   *
+   * @param quorums quorums of the configurations in effect
+   */
+  long quorumSendTime(List<Quorum> quorums, ReplicaId self, long now) {
+    return lowest(quorums, voter -> voter.equals(self) ? now : ackedSendTime(voter));
+  }
+
+  private long ackedSendTime(ReplicaId voter) {
+    Progress progress = followers.get(voter);
+    return progress == null ? initialAckTime : progress.ackedSendTime;
+  }
+
+  /**
+   * Returns the highest index that each quorum has synced to disk.
+   *
+   * @param quorums quorums of the configurations in effect
+   */
+  long quorumMatchIndex(List<Quorum> quorums, ReplicaId self, long ownLastIndex) {
+    return lowest(quorums, voter -> voter.equals(self) ? ownLastIndex : matchIndex(voter));
+  }
+
+  private long matchIndex(ReplicaId voter) {
+    Progress progress = followers.get(voter);
+    return progress == null ? 0 : progress.matchIndex;
+  }
+
+  private static long lowest(List<Quorum> quorums, ToLongFunction<ReplicaId> value) {
+    return quorums.stream().mapToLong(quorum -> quorum.highestReached(value)).min().orElse(0);
   }
 
   void addRead(long operationId, long index) {
     pendingReads.add(new PendingRead(operationId, currentRound + 1, index));
   }
 
-  /** Removes and returns the reads that a majority has confirmed. */
-  List<Output> takeConfirmedReads(ReplicaConfig config, ReplicaId self) {
+  /** Removes and returns the reads that each quorum has confirmed. */
+  List<Output> takeConfirmedReads(List<Quorum> quorums, ReplicaId self) {
     List<Output> confirmed = new ArrayList<>();
     Iterator<PendingRead> it = pendingReads.iterator();
     while (it.hasNext()) {
       PendingRead read = it.next();
-      long acks = config.voters().stream().filter(v -> acknowledged(v, self, read.round)).count();
-      if (acks >= config.quorum()) {
+      if (quorums.stream().allMatch(q -> q.isReached(v -> acknowledged(v, self, read.round)))) {
         confirmed.add(new Output.ReadConfirmed(read.operationId, read.index));
         it.remove();
       }
--- a/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
+++ b/core/src/main/java/org/clementinesail/core/replication/LogReplication.java
@@ -45,7 +45,7 @@
     long lastMajorityContact =
         Math.max(
             leaderState.electedAt(),
-            leaderState.majoritySendTime(context.config, context.self, now));
+            leaderState.quorumSendTime(context.quorums(), context.self, now));
     if (now - lastMajorityContact > context.timing.minElectionTimeoutNanos()) {
       context.becomeFollower(context.term, null, now);
     } else if (now >= nextHeartbeatAt) {
@@ -66,7 +66,7 @@
         sendAppend(leaderState, member, round, now);
       }
     }
-    context.emitAll(leaderState.takeConfirmedReads(context.config, context.self));
+    context.emitAll(leaderState.takeConfirmedReads(context.quorums(), context.self));
   }
 
   private void sendAppend(LeaderState leaderState, ReplicaId to, long round, long now) {
@@ -127,7 +127,7 @@
     }
     if (!newEntries.isEmpty()) {
       context.emit(new Output.SaveEntries(newEntries));
-      context.config = log.config();
+      context.useLastConfig();
     }
   }
 
@@ -194,7 +194,7 @@
       progress.nextIndex = Math.max(progress.matchIndex, retryAfter) + 1;
       leaderState.broadcastDue(true);
     }
-    context.emitAll(leaderState.takeConfirmedReads(context.config, context.self));
+    context.emitAll(leaderState.takeConfirmedReads(context.quorums(), context.self));
   }
 
   /** Sends the snapshot to a member that reports a blank disk, unless one is on its way. */
@@ -208,7 +208,7 @@
 
   void reconfigure(ReplicaConfig next) {
     context.appendAsLeader(new LogEntry.Reconfigure(next));
-    context.config = next;
+    context.useLastConfig();
     if (context.leaderState != null) {
       context.leaderState.retainMembers(next);
     }
@@ -220,10 +220,10 @@
     if (leaderState == null) {
       return;
     }
-    long majorityIndex =
-        leaderState.majorityMatchIndex(context.config, context.self, context.log.lastIndex());
-    if (majorityIndex > context.commitIndex && context.log.termAt(majorityIndex) == context.term) {
-      context.commitTo(majorityIndex);
+    long quorumIndex =
+        leaderState.quorumMatchIndex(context.quorums(), context.self, context.log.lastIndex());
+    if (quorumIndex > context.commitIndex && context.log.termAt(quorumIndex) == context.term) {
+      context.commitTo(quorumIndex);
       leaderState.broadcastDue(true);
     }
   }
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
@@ -1,7 +1,9 @@
 package org.clementinesail.core.replication;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +17,7 @@
   long clusterId;
   long term;
   @Nullable ReplicaId votedFor;
+  final LostDisks lostDisks = new LostDisks();
   ReplicaConfig config;
   long commitIndex;
   Role role;
@@ -26,6 +29,14 @@
   long electionDeadline;
 
   private final List<Output> outputs = new ArrayList<>();
+  private long configIndex;
+  private ReplicaConfig previousConfig;
+
+  /**
+   * Voters whose disks were known to be lost when this replica last asked for votes; they count for
+   * nothing until it follows a leader.
+   */
+  private Set<ReplicaId> lostVoters = Set.of();
 
   ReplicaContext(
       ReplicaId self, StoredState stored, Timing timing, RandomGenerator random, long now) {
@@ -37,6 +48,8 @@
     this.term = stored.term();
     this.votedFor = stored.votedFor();
     this.config = log.config();
+    this.configIndex = log.configIndex();
+    this.previousConfig = log.configBefore(configIndex);
     this.commitIndex = stored.snapshot().index();
     this.role = clusterId == 0 ? Role.BLANK : Role.FOLLOWER;
     // A voter that restarts must still honour the lease that it supported before.
@@ -69,6 +82,58 @@
     return config.voters().contains(self);
   }
 
+  /** Takes over the configuration of the last entry that changes it. */
+  void useLastConfig() {
+    config = log.config();
+    configIndex = log.configIndex();
+    previousConfig = log.configBefore(configIndex);
+  }
+
+  /** Returns whether the configuration before the one in effect has ended for all replicas. */
+  boolean isConfigCommitted() {
+    return configIndex <= commitIndex || isConfigRepeated();
+  }
+
+  /**
+   * Returns whether the last entry that changes the configuration repeats the one before, which a
+   * leader appends only once that one is committed.
+   */
+  boolean isConfigRepeated() {
+    return previousConfig.equals(config);
+  }
+
+  /** Fixes which voters count for nothing in an election and in the term that it may win. */
+  void fixLostVoters() {
+    Set<ReplicaId> lost = new HashSet<>(lostDisks.votersOf(config));
+    lost.addAll(lostDisks.votersOf(previousConfig));
+    lostVoters = Set.copyOf(lost);
+  }
+
+  /** Returns whether this replica has asked for votes knowing of voters whose disks are lost. */
+  boolean knowsLostVoters() {
+    return !lostVoters.isEmpty();
+  }
+
+  /**
+   * Returns the quorum that elects a leader. While the configuration may not be committed, half of
+   * its voters need not share one with a majority of the voters before.
+   */
+  Quorum electionQuorum() {
+    return isConfigCommitted()
+        ? Quorum.committed(config, lostVoters)
+        : Quorum.majority(config, lostVoters);
+  }
+
+  /**
+   * Returns the quorums that must agree to commit entries: that of the configuration in effect, and
+   * that of the one before until the change is committed.
+   */
+  List<Quorum> quorums() {
+    return isConfigCommitted()
+        ? List.of(electionQuorum())
+        : List.of(electionQuorum(), Quorum.committed(previousConfig, lostVoters));
+  }
+
   boolean isSoleVoter() {
     return config.voters().equals(List.of(self));
   }
@@ -101,9 +166,7 @@
    * configuration entry.
    */
   boolean canReconfigure() {
-    return leaderState != null
-        && log.termAt(commitIndex) == term
-        && log.configIndex() <= commitIndex;
+    return leaderState != null && log.termAt(commitIndex) == term && configIndex <= commitIndex;
   }
 
   void becomeFollower(long newTerm, @Nullable ReplicaId newLeader, long now) {
@@ -116,6 +179,7 @@
     }
     role = Role.FOLLOWER;
     leader = newLeader;
+    lostVoters = Set.of();
     resetElectionDeadline(now);
   }
 
@@ -133,9 +197,10 @@
   void reset(long newClusterId, Snapshot snapshot, long now) {
     clusterId = newClusterId;
     log.reset(snapshot);
-    config = log.config();
+    useLastConfig();
     commitIndex = snapshot.index();
     role = Role.FOLLOWER;
+    lostVoters = Set.of();
     resetElectionDeadline(now);
     emit(new Output.SaveSnapshot(newClusterId, snapshot));
     emit(new Output.Restore(snapshot));
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaCore.java
@@ -127,7 +127,7 @@
     if (state == null) {
       return now - 1;
     }
-    return state.majoritySendTime(context.config, context.self, now) + context.timing.leaseNanos();
+    return state.quorumSendTime(context.quorums(), context.self, now) + context.timing.leaseNanos();
   }
 
   /**
@@ -295,6 +295,7 @@
   }
 
   private void receiveFromMember(ReplicaMessage message, long now) {
+    context.lostDisks.recordState(message.from());
     ReplicaMessage.Body body = message.body();
     if (body instanceof ReplicaMessage.PreVote request) {
       elections.onPreVote(message, request, now);
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaLog.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaLog.java
@@ -132,6 +132,13 @@
     return snapshot.index();
   }
 
+  /**
+   * Returns the configuration before the one that takes effect at an index; the same at the start.
+   */
+  ReplicaConfig configBefore(long configIndex) {
+    return configIndex <= snapshot.index() ? config() : configAt(configIndex - 1);
+  }
+
   /** Returns the configuration in effect after the entry at an index. */
   ReplicaConfig configAt(long index) {
     for (int i = entries.size() - 1; i >= 0; i--) {
--- a/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
+++ b/core/src/main/java/org/clementinesail/core/replication/VoterChanges.java
@@ -35,6 +35,18 @@
   void tick(LeaderState state, long now) {
     removeLostVoter(state, now);
     promoteLearner(state, now);
+    repeatConfig();
+  }
+
+  /**
+   * Repeats a committed configuration with an even number of voters, so that its replicas know that
+   * it is committed, also after a restart. Half of its voters may then go on after a disk is lost.
+   */
+  private void repeatConfig() {
+    boolean even = context.config.voters().size() % 2 == 0;
+    if (bootstrap.open() && even && context.canReconfigure() && !context.isConfigRepeated()) {
+      replication.reconfigure(context.config);
+    }
   }
 
   /**
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementTest.java
@@ -107,6 +107,50 @@
     assertTrue(cluster.awaitLeader().core.commitIndex() >= committed);
   }
 
+  /**
+   * Guards against a VM that was lost unplanned beside its successor and still counts when a disk
+   * is lost at once: of four voters one is silent and one is back without its disk.
+   */
+  @Test(dataProvider = "seeds")
+  public void twoOfFourVotersGoOnAfterADiskIsLost(long seed) {
+    SimulatedCluster cluster = cluster(seed, "a", "b", "c");
+    cluster.add("d");
+    cluster.run(JOIN_MILLIS);
+    cluster.kill(follower(cluster));
+    assertKeptWhenLeaderIsWiped(cluster);
+  }
+
+  /** The same if all VMs lose power at that moment, so that none knows what is committed. */
+  @Test(dataProvider = "seeds")
+  public void twoOfFourVotersGoOnAfterALossOfPower(long seed) {
+    SimulatedCluster cluster = cluster(seed, "a", "b", "c");
+    cluster.add("d");
+    cluster.run(JOIN_MILLIS);
+    cluster.propose(cluster.awaitLeader().vm, 7);
+    cluster.run(200);
+    long committed = cluster.committed.size();
+    String leader = cluster.awaitLeader().vm;
+    String silent = follower(cluster);
+    cluster.nodes.keySet().forEach(cluster::kill);
+    cluster.wipe(leader);
+    cluster.nodes.keySet().stream().filter(vm -> !vm.equals(silent)).forEach(cluster::start);
+    cluster.run(RECOVERY_MILLIS);
+    assertTrue(cluster.awaitLeader().core.commitIndex() >= committed);
+  }
+
+  /** Two of four voters do not go on beside two that are only silent. */
+  @Test(dataProvider = "seeds")
+  public void halfOfTheVotersWaitForSilentOnes(long seed) {
+    SimulatedCluster cluster = cluster(seed, "a", "b", "c");
+    cluster.add("d");
+    cluster.run(JOIN_MILLIS);
+    cluster.kill("a");
+    cluster.kill("b");
+    cluster.run(RECOVERY_MILLIS);
+    SimulatedCluster.Node leader = cluster.leader();
+    assertEquals(leader == null ? "nobody" : leader.vm, "nobody");
+  }
+
   /** A VM that restarts with no successor beside it stops at once and votes again. */
   @Test(dataProvider = "seeds")
   public void plannedRestartKeepsTheVoters(long seed) {
