Retry a split election after half of the election timeout

What callers saw: nothing yet; found by a random simulation. The leader of three was lost, three votes in a row were split, and the successor had no state when its time to catch up had passed; the next lost disk left nobody. Cause: a candidate that is refused because the other voter is a candidate too waited for a whole election timeout. Change: it asks again after a random time of up to half of the shortest one.

--- a/core/src/main/java/org/clementinesail/core/replication/Elections.java
+++ b/core/src/main/java/org/clementinesail/core/replication/Elections.java
@@ -131,7 +131,11 @@
 
   void onVoteReply(ReplicaMessage message, ReplicaMessage.VoteReply reply, long now) {
     boolean current = context.role == Role.CANDIDATE && message.term() == context.term;
-    if (!current || !reply.granted()) {
+    if (!current) {
+      return;
+    }
+    if (!reply.granted()) {
+      context.retryElectionSoon(now);
       return;
     }
     recordGrant(message.from());
--- a/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
+++ b/core/src/main/java/org/clementinesail/core/replication/ReplicaContext.java
@@ -206,6 +206,14 @@
     emit(new Output.Restore(snapshot));
   }
 
+  /**
+   * Sets an earlier time to request pre-votes after a split vote, at random so as not to repeat it.
+   */
+  void retryElectionSoon(long now) {
+    long retryAt = now + random.nextLong(Math.max(1, timing.minElectionTimeoutNanos() / 2));
+    electionDeadline = Math.min(electionDeadline, retryAt);
+  }
+
   /**
    * Sets the next time to request pre-votes. A replica that has heard no leader since it started
    * does so sooner: pre-votes do not disturb a leader, and after a restart of all replicas there is
--- a/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementFaultTest.java
+++ b/core/src/test/java/org/clementinesail/core/replication/ReplicaReplacementFaultTest.java
@@ -20,6 +20,10 @@
 public final class ReplicaReplacementFaultTest {
   private static final int DEFAULT_SEEDS = 40;
   private static final int ROUNDS = 6;
+
+  /** A seed with three split votes in a row, so that the successor came too late. */
+  private static final long THREE_SPLIT_VOTES = 257;
+
   private static final int RECOVERY_MILLIS = 6_000;
 
   /** The time that a successor has to catch up: twice the silence after which a voter is lost. */
@@ -38,7 +42,8 @@
   @DataProvider
   public Object[][] seeds() {
     int count = Integer.getInteger("replacement.seeds", DEFAULT_SEEDS);
-    Object[][] seeds = new Object[2 * count][];
+    Object[][] seeds = new Object[2 * count + 1][];
+    seeds[2 * count] = new Object[] {THREE_SPLIT_VOTES, 3};
     for (int i = 0; i < count; i++) {
       seeds[2 * i] = new Object[] {i + 1L, 3};
       seeds[2 * i + 1] = new Object[] {i + 1L, 5};
