--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -434,6 +434,10 @@
         self.streams = 0
         super().__init__(site, number, service, run, slots=134)
 
+    def kv_total(self):
+        """Returns the memory for requests, in tokens x layers."""
+        return 1000000
+
     def fall_silent(self, seconds):
         """The whole server pauses and goes on; nothing is lost."""
 
@@ -456,8 +460,9 @@
         if path == "/-/report":
             report = {
                 "stage": "colocated", "models": self.MODEL, "layers": self.layers, "busy": False,
-                "seq": self.orders, "waiting": 0, "running": self.streams, "kv_used": self.streams * 100,
-                "kv_total": 1000000, "handles": 0, "pace": 1.0, "stalled": [],
+                "seq": self.orders, "waiting": 0, "running": self.streams,
+                "kv_used": self.streams * 100 * (self.layers["to"] - self.layers["from"]),
+                "kv_total": self.kv_total(), "handles": 0, "pace": 1.0, "stalled": [],
             }
             self.send(connection, "200 OK", {"Content-Type": "application/json"}, json.dumps(report).encode())
             return True
