Review case 11: acknowledged state is lost when two core machines are removed beside two lost disks

Cause: VoterChanges.promoteLearner makes a successor a voter beside the one that it succeeds, so there are seven voters; with two of them removed and two disks lost, three are left of the four that a leader needs, and nothing makes the two blank ones voters.

The case of the added model server is review/12 now, that of the metrics review/13, that of the first part review/14, that of the silent servers review/15. The shared stand-ins can add a control process, lose a disk and read the voters that a process knows.

--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,131 +1,152 @@
-"""Versions add and remove routes that are used once, while orders go on."""
+"""An empty, fast model server is added to a small pool; then a route is added."""
 
+import json
 import pathlib
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
-from deployment import BROKEN, HELD, TROUBLE, Requester, Server, Site, desired, play, route
-
-VERSIONS = 5
-ROUTES = 400  # of one version; the site file has big_config with count = 400
-TIMEOUT_MS = 2000
-ORDERS = 16  # requesters that send an order after the other on a kept channel
-ORDER_S = 0.4
-LIMIT_S = 70
-
-ran = set()  # ids of the requests that a server has run
-
-
-def serve(server, connection, path, headers, body):
-    """A sound server: a stream of three events, or an order that takes a while."""
+from deployment import BROKEN, HELD, TROUBLE, Engine, NotReady, Requester, Server, Site, desired, play, route
+
+REQUESTS = 30  # to each route; the rule counts from 20 on
+CONFIG_APPLY_S = 2.0
+
+
+class Part(Engine):
+    """A model server that holds some of the layers, with a kind of accelerator."""
+
+    LAYERS = 8
+    all = {}  # by address
+
+    def __init__(self, site, number, service, run, kind):
+        self.kind = kind
+        super().__init__(site, number, service, run)
+        Part.all[self.address()] = self
+
+    def statement(self):
+        return dict(super().statement(), kind=self.kind)
+
+    def answer(self, connection, line, headers, body):
+        path = line.split(" ")[1]
+        if path in ("/-/report", "/-/order", "/health"):
+            if path == "/-/order":
+                self.site.record.write("order to %s (%s): %s" % (self.id, self.kind, body.decode()))
+            return super().answer(connection, line, headers, body)
+        rid = headers.get("request-id", "")
+        hops = headers.get("hop-count", "%s=0-%d" % (self.address(), self.LAYERS))
+        self.site.record.write("%s reaches %s with Hop-Count %s" % (rid, self.id, hops))
+        names = [hop.partition("=")[0] for hop in hops.split(",")]
+        if len(set(names)) < len(names) or names[0] != self.address():
+            self.send(connection, "400 Bad Request", {"Request-Id": rid, "Server-Stamp": rid}, b"")
+            return True
+        for hop in hops.split(","):
+            address, _, layers = hop.partition("=")
+            begin, end = (int(x) for x in layers.split("-"))
+            held = Part.all[address].layers
+            if begin < held["from"] or end > held["to"]:
+                self.send(connection, "421 Misdirected Request",
+                          {"Request-Id": rid, "Not-Run": "1", "At-Server": address}, b"")
+                return True
+        return Server.answer(self, connection, line, headers, body)
+
+    def kv_total(self):
+        model = self.model()
+        mb = next(k["mb"] for k in model["kinds"] if k["name"] == self.kind)
+        free = mb - (self.layers["to"] - self.layers["from"]) * model["layer_mb"]
+        return int(free * 1e6 / (model["kv_token_bytes"] / model["layers"]))
+
+    @classmethod
+    def model(cls):
+        return dict(super().model(), layers=cls.LAYERS, layer_mb=250.0, kv_token_bytes=1000000, kinds=[
+            {"name": "a100", "mb": 3000.0, "pace": 4.0, "read_x": 4.0},
+            {"name": "l4", "mb": 1500.0, "pace": 16.0, "read_x": 8.0},
+            {"name": "t4", "mb": 1300.0, "pace": 16.0, "read_x": 8.0},
+            {"name": "h100-slice", "mb": 700.0, "pace": 1.0, "read_x": 1.0},
+        ])
+
+
+def generate(server, connection, path, headers, body):
     rid = headers.get("request-id", "")
-    ran.add(rid)
-    if path.startswith("/order"):
-        time.sleep(ORDER_S)
-        return b"x" * 800
-    out = (
+    connection.sendall((
         "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\n"
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         "Keep-Alive: timeout=20\r\n\r\n" % (rid, server.id, rid)
-    ).encode()
+    ).encode())
     for i in range(1, 4):
         event = ("id: %d\ndata: tok\n\n" % i).encode()
-        out += b"%x\r\n%s\r\n" % (len(event), event)
-    connection.sendall(out + b"0\r\n\r\n")
+        connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        time.sleep(0.01)
+    connection.sendall(b"0\r\n\r\n")
     return True
 
 
-def guide(name, prefix):
-    return route(name, prefix, "shop", "stream", can_resume=True, target_gap_ms=200)
-
+def shop(server, connection, path, headers, body):
+    time.sleep(0.01)
+    return b"x" * 800
 
-class Counts:
-    """What the requesters have seen."""
 
-    sent = served = 0
-    late = 0  # without an answer at the route's timeout
-    silent = 0  # and still without one half a second later
-    closed = 0  # run by a server, and the channel was closed without a whole answer
+def guide(name, prefix):
+    return route(name, prefix, "lm", "stream", can_resume=True, target_gap_ms=200, timeout_ms=20000)
 
 
 def case(box):
-    site = Site(FOLDER, controls=3, entries=1)
+    site = Site(FOLDER, controls=3, entries=2)
     box.append(site)
     site.start()
-    base = [guide("guide", "/guide/"), route("order", "/order/", "shop", "non_idempotent")]
-    site.put(desired(1, base, ["shop"]))
+    first = [guide("guide-draft", "/guide/"), route("stock-check", "/stock/", "shop")]
+    state = desired(1, first, ["shop"], ["lm"])
+    state["services"][1]["engine"] = Part.model()
+    site.put(state)
+    Server(site, 10, "shop", shop)
+    pool = [Part(site, 0, "lm", generate, "a100"), Part(site, 1, "lm", generate, "l4"),
+            Part(site, 2, "lm", generate, "t4")]
     for i in range(2):
-        Server(site, i, "shop", serve)
-    site.await_ready(0)
-    entry = site.entries[0].process
-    begun = time.monotonic()
-    counts, lock, done = Counts(), threading.Lock(), threading.Event()
-
-    def over():
-        return done.is_set() or entry.poll() is not None or time.monotonic() - begun > LIMIT_S
-
-    def send(requester, rid, path, method):
-        sent_at = time.monotonic()
-        status, _, data = requester.call(
-            rid, path, method, deadline_ms=TIMEOUT_MS, wait_s=TIMEOUT_MS / 1000 + 0.5)
-        took = time.monotonic() - sent_at
-        with lock:
-            counts.sent += 1
-            counts.served += status == 200
-            counts.late += took >= TIMEOUT_MS / 1000
-            if status == 0 and b"timed out" in data:
-                counts.silent += 1
-            elif status == 0:
-                counts.closed += rid in ran
-        if status != 200:
-            site.record.write("%s %s: status %d %r after %.2f s%s" % (
-                rid, path, status, data[:60], took, ", a server has run it" if rid in ran else ""))
-
-    def orders(number):
-        requester = Requester(site, 0)
-        for i in range(100000):
-            if over():
-                break
-            send(requester, "o%d-%d" % (number, i), "/order/%d" % i, "POST")
-
-    threads = [threading.Thread(target=orders, args=(i,)) for i in range(ORDERS)]
-    for t in threads:
-        t.start()
-    requester = Requester(site, 0)
-    used = 0
-    for version in range(VERSIONS):
-        added = [
-            guide("guide-%d-%d" % (version, i), "/guide/%d/%d/" % (version, i)) for i in range(ROUTES)
-        ]
-        # Each version removes the routes of the one before, so that there are never more than 402.
-        site.put(desired(10 + version, base + (added if TROUBLE else []), ["shop"]))
-        time.sleep(2.2)
-        for i in range(ROUTES):
-            if over():
-                break
-            used += 1
-            send(requester, "g%d" % used,
-                 "/guide/%d/%d/x" % (version, i) if TROUBLE else "/guide/x", "GET")
-        site.record.write("version %d: %d requests on added routes so far" % (10 + version, used))
-    if not over():
-        time.sleep(3)
-    done.set()
-    for t in threads:
-        t.join()
-    ended = entry.poll()
+        site.await_ready(i)
+    end = time.monotonic() + 30
+    while any(e.layers["to"] == 0 for e in pool):
+        if time.monotonic() > end:
+            raise NotReady("the model servers got no layers")
+        time.sleep(0.1)
+    time.sleep(3)  # reports and statements spread
+    requesters = [Requester(site, i) for i in range(2)]
+    sent = 0
+
+    def serve(prefix, count):
+        """Sends requests to both entries in turn; returns how many were served."""
+        nonlocal sent
+        served = 0
+        for _ in range(count):
+            sent += 1
+            extra = {} if prefix == "/stock/" else {
+                "Model": "m", "Token-Count": "50,50", "Prompt-Prefix": "%x:50" % sent}
+            status, _, data = requesters[sent % 2].call(
+                "g%d" % sent, "%s%d" % (prefix, sent), deadline_ms=20000, extra=extra)
+            served += status == 200
+            site.record.write("g%d on %s: status %d" % (sent, prefix, status))
+            time.sleep(0.1)
+        return served
+
+    before = serve("/guide/", REQUESTS)
+    if TROUBLE:
+        pool.append(Part(site, 3, "lm", generate, "h100-slice"))
+        site.record.write("an empty server is added: %s" % pool[3].id)
+    time.sleep(5)
+    site.record.write("layers: %s" % json.dumps({e.id: e.layers for e in pool}))
+    state = dict(state, version=2, routes=first + [guide("shop-reply", "/reply/")])
+    site.put(state)
+    time.sleep(CONFIG_APPLY_S + 0.2)
+    later = serve("/reply/", REQUESTS)
+    again = serve("/guide/", REQUESTS)
+    stock = serve("/stock/", REQUESTS)
     summary = (
-        "%d requests, %d of them on added routes, %d served; run by a server and the channel closed "
-        "without a whole answer: %d; no answer at the timeout: %d, nor half a second later: %d; the "
-        "entry process %s"
-        % (counts.sent, used, counts.served, counts.closed, counts.late, counts.silent,
-           "runs" if ended is None else "has ended by itself with %d" % ended)
+        "served of %d each: guide-draft before %d, after %d; stock-check %d; the route that was added "
+        "later %d" % (REQUESTS, before, again, stock, later)
     )
     site.record.write(summary)
     print(summary)
-    return BROKEN if counts.closed > 3 or counts.silent * 2 > counts.late else HELD
+    on_first = (before + again + stock) / (3 * REQUESTS)
+    return BROKEN if later / REQUESTS < on_first / 4 else HELD
 
 
 play(FOLDER, case)
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -57,6 +57,7 @@
         self.site, self.role, self.number, self.ip, self.zone = site, role, number, ip, zone
         self.name = "%s-%d" % (role, number)
         self.settings = site.folder / (self.name + ".yaml")
+        self.seeds = None  # addresses in the settings; the first three control VMs if not set
         self.data = site.folder / ("data-%d" % number) if role == "control" else None
         if self.data:
             self.data.mkdir()
@@ -99,7 +100,7 @@
 entry: "virtual_ip"
 beat_interval_ms: 1000
 fault_tolerance:
-  machines: 1
+  machines: %d
   zones: 0
   regions: 0
 bounds:
@@ -114,11 +115,12 @@
             listen,
             s.inner_port,
             s.inner_port + 15,
-            "\n".join('  - "%s:%d"' % (c, s.control_port) for c in s.control_ips),
+            "\n".join('  - "%s:%d"' % (c, s.control_port) for c in self.seeds or s.control_ips[:3]),
             "true" if bootstrap and self.data else "false",
             "true" if self.data else "false",
             128 if self.data else 0,
             '"%s"' % self.data if self.data else "null",
+            s.tolerated,
             "\n".join("  %s: %s" % item for item in s.bounds.items()),
         )
         part = self.settings.with_suffix(".part")
@@ -144,6 +146,15 @@
         if self.process:
             self.process.wait()
 
+    def lose_disk(self):
+        """Empties the data folder of a process that has ended."""
+        shutil.rmtree(self.data)
+        self.data.mkdir()
+
+    def roles(self):
+        """Returns the roles that the process has logged, such as "leader of [a, b]"."""
+        return re.findall(r'"event":"role","role":"([^"]*)"', self.log.read_text())
+
 
 class Site:
     """Control and entry processes on a loopback network of their own."""
@@ -156,8 +167,9 @@
         "recover_s": 12, "pass_ms": 120, "retry_after_s": 0, "stall_ms": 2000,
     }
 
-    def __init__(self, folder, controls=3, entries=2, **bounds):
+    def __init__(self, folder, controls=3, entries=2, tolerated=1, **bounds):
         self.record = Record(folder)
+        self.tolerated = tolerated  # machines of the core that may be lost at once
         self.bounds = dict(self.BOUNDS, **bounds)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.control_port, self.front_port, self.ready_port = 21329, 21327, 21320
@@ -185,6 +197,17 @@
         except OSError:
             return False
 
+    def add_control(self, seeds):
+        """Starts one more control VM at a new address, with an empty disk."""
+        number = len(self.controls)
+        ip = self.ip(10 + number)
+        self.controls.append(Proc(self, "control", number, ip, "a"))
+        self.control_ips.append(ip)
+        self.controls[-1].seeds = seeds
+        self.controls[-1].write_settings(False)
+        self.controls[-1].start()
+        return self.controls[-1]
+
     def all(self):
         return self.controls + self.entries
 
